--- /dev/null
+++ b/internal/desk/choose.go
@@ -0,0 +1,240 @@
+package desk
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/figreel/figreel/internal/site"
+)
+
+// option is an engine that can serve a call, and what that would take.
+type option struct {
+	engine *engine
+	first  time.Duration // until the first event
+	score  time.Duration
+	tokens int // prompt tokens to read
+	loads  bool
+	evict  *adapterKey
+}
+
+// decide grants a call, keeps it waiting or refuses it.
+func (d *Desk) decide(now time.Time, a *ask) Decision {
+	left := a.deadline.Sub(now)
+	if left <= 0 {
+		return d.refuse(a, ReasonOverload, minRetryAfter)
+	}
+	if got, ok := d.awaitAdapter(now, a); ok {
+		return got
+	}
+	best, holders := d.best(now, a)
+	switch {
+	case best == nil && holders == 0:
+		return d.awaitModel(now, a, left)
+	case best == nil:
+		return d.waitOrRefuse(a, left)
+	case best.first > left:
+		return d.refuse(a, ReasonOverload, best.first-left)
+	case best.loads:
+		d.order(now, a, best)
+		return Decision{Kind: Waiting, Call: a.Call}
+	}
+	return d.grant(now, a, best)
+}
+
+// awaitAdapter keeps a call where its adapter is being loaded, and grants it once the adapter is there.
+func (d *Desk) awaitAdapter(now time.Time, a *ask) (Decision, bool) {
+	e := d.engines[a.engine]
+	if e == nil || !e.serves(now, a.Demand.Model) {
+		a.engine = ""
+		return Decision{}, false
+	}
+	ad := e.adapters[adapterKey{a.Demand.Model, a.Demand.Adapter}]
+	if ad == nil || ad.leaving {
+		a.engine = ""
+		return Decision{}, false
+	}
+	if ad.pending || now.Before(ad.ready) {
+		return Decision{Kind: Waiting, Call: a.Call}, true
+	}
+	return d.grant(now, a, &option{engine: e}), true
+}
+
+// best returns the engine with the lowest score, and how many engines hold the model.
+func (d *Desk) best(now time.Time, a *ask) (*option, int) {
+	chain := keys(&a.Demand)
+	var best *option
+	holders := 0
+	for _, e := range d.engines {
+		if e.Service != a.Service || !e.serves(now, a.Demand.Model) {
+			continue
+		}
+		holders++
+		o := d.option(now, a, e, chain)
+		if o == nil {
+			continue
+		}
+		if best == nil || o.score < best.score || o.score == best.score && e.ID < best.engine.ID {
+			best = o
+		}
+	}
+	return best, holders
+}
+
+// option estimates what the call takes on an engine, or returns nil when the engine cannot take it now.
+func (d *Desk) option(now time.Time, a *ask, e *engine, chain []uint64) *option {
+	o := &option{engine: e}
+	o.tokens = a.Demand.PromptTokens - e.cache.known(chain, a.Demand.Parts)
+	read := time.Duration(float64(o.tokens) * float64(d.cost(a.Demand.Model)) * e.slow)
+	o.first = e.wait(now) + read + answerOverhead
+	if a.Demand.Adapter != "" {
+		delay, ok := d.adapterDelay(now, a, e, o)
+		if !ok {
+			return nil
+		}
+		o.first += delay
+	}
+	o.score = o.first + read/2 + time.Duration(len(e.tickets))*callCost
+	if e.Domain != a.Domain {
+		o.score += domainCost
+	}
+	if slices.Contains(a.Tried, e.ID) {
+		o.score += crowded
+	}
+	full := e.memory+o.tokens+a.Demand.OutputTokens > int(memoryShare*float64(e.kvTotal))
+	if full || e.Slots > 0 && len(e.tickets) >= e.Slots {
+		o.score += crowded
+		o.first += e.wait(now)
+	}
+	return o
+}
+
+// adapterDelay returns the time until the engine can hold the call's adapter, and false when it cannot.
+func (d *Desk) adapterDelay(now time.Time, a *ask, e *engine, o *option) (time.Duration, bool) {
+	k := adapterKey{a.Demand.Model, a.Demand.Adapter}
+	if ad := e.adapters[k]; ad != nil && !ad.leaving {
+		delay := max(ad.ready.Sub(now), 0)
+		if ad.pending {
+			delay = max(delay, adapterTime/2)
+		}
+		return delay, true
+	}
+	if !d.Places {
+		return crowded, true
+	}
+	kind := d.kind(e.Service)
+	if len(e.adapters) < kind.AdapterSlots {
+		o.loads = true
+		return adapterTime, true
+	}
+	for other, ad := range e.adapters {
+		if ad.calls > 0 || ad.pending || ad.leaving || now.Before(ad.ready) {
+			continue
+		}
+		if o.evict == nil || ad.lastUse.Before(e.adapters[*o.evict].lastUse) {
+			o.evict = &other
+		}
+	}
+	if o.evict == nil {
+		return 0, false
+	}
+	o.loads = true
+	return adapterTime + adapterTime/2, true
+}
+
+// order asks for the call's adapter on the engine of the option.
+func (d *Desk) order(now time.Time, a *ask, o *option) {
+	e := o.engine
+	need := AdapterNeed{Engine: e.ID, Model: a.Demand.Model, Adapter: a.Demand.Adapter}
+	if o.evict != nil {
+		need.EvictModel, need.EvictAdapter = o.evict.model, o.evict.name
+		e.adapters[*o.evict].leaving = true
+	}
+	d.needs = append(d.needs, need)
+	ad := e.adapter(now, adapterKey{a.Demand.Model, a.Demand.Adapter})
+	ad.pending, ad.ready = true, now.Add(adapterTime)
+	a.engine = e.ID
+}
+
+func (d *Desk) grant(now time.Time, a *ask, o *option) Decision {
+	e := o.engine
+	if a.Demand.Adapter != "" {
+		ad := e.adapters[adapterKey{a.Demand.Model, a.Demand.Adapter}]
+		if ad != nil && (ad.pending || now.Before(ad.ready)) {
+			a.engine = e.ID
+			return Decision{Kind: Waiting, Call: a.Call}
+		}
+	}
+	t := d.ticket(now, e, a)
+	e.add(now, t)
+	e.cache.add(keys(&a.Demand), a.Demand.Parts)
+	return Decision{Kind: Granted, Call: a.Call, Grant: Grant{Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot}}
+}
+
+func (d *Desk) ticket(now time.Time, e *engine, a *ask) *ticket {
+	d.next++
+	chain := keys(&a.Demand)
+	tokens := a.Demand.PromptTokens - e.cache.known(chain, a.Demand.Parts)
+	t := &ticket{
+		id: d.next, ask: a.Ask, engine: e, granted: now, tokens: tokens, memory: tokens + a.Demand.OutputTokens,
+		prefill: time.Duration(float64(tokens) * float64(d.cost(a.Demand.Model)) * e.slow),
+		alone:   e.wait(now) == 0,
+	}
+	d.tickets[t.id] = t
+	return t
+}
+
+// awaitModel keeps a call while its model can still be loaded in time.
+func (d *Desk) awaitModel(now time.Time, a *ask, left time.Duration) Decision {
+	m := d.kind(a.Service).Model(a.Demand.Model)
+	if m == nil {
+		return d.refuse(a, ReasonUnknown, minRetryAfter)
+	}
+	need := m.Load
+	for _, e := range d.engines {
+		if since, ok := e.loading[m.Name]; ok && e.known {
+			need = min(need, max(m.Load-now.Sub(since), 0))
+		}
+	}
+	if !d.Places || need+answerOverhead > left {
+		return d.refuse(a, ReasonNoModel, need)
+	}
+	return Decision{Kind: Waiting, Call: a.Call}
+}
+
+// waitOrRefuse keeps a call that some engine holds the model for but no engine can take now.
+func (d *Desk) waitOrRefuse(a *ask, left time.Duration) Decision {
+	if left < a.Left/2 {
+		return d.refuse(a, ReasonOverload, minRetryAfter)
+	}
+	return Decision{Kind: Waiting, Call: a.Call}
+}
+
+func (d *Desk) refuse(a *ask, reason string, after time.Duration) Decision {
+	return Decision{
+		Kind: Refused, Call: a.Call, Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter),
+	}
+}
+
+func parseAdapter(s string) adapterKey {
+	name, _, _ := strings.Cut(s, "@")
+	model, adapter, _ := strings.Cut(name, "/")
+	return adapterKey{model, adapter}
+}
+
+// Engines returns the engines that may take orders, by service.
+func (d *Desk) Engines() []*site.Upstream {
+	out := make([]*site.Upstream, 0, len(d.engines))
+	for _, e := range d.engines {
+		if e.known && !e.Leaving {
+			u := e.Upstream
+			u.Models = u.Models[:0:0]
+			for name := range e.models {
+				u.Models = append(u.Models, site.Resident{Name: name})
+			}
+			out = append(out, &u)
+		}
+	}
+	slices.SortFunc(out, func(a, b *site.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,367 @@
+package desk
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/figreel/figreel/internal/site"
+)
+
+const (
+	// firstTokenCost is the time to read a prompt token until a model has been observed.
+	firstTokenCost = 26 * time.Microsecond
+	// learnGain is the weight of one observation of a model's reading time.
+	learnGain = 0.2
+	// learnTokens is the least number of tokens that gives an observation.
+	learnTokens = 400
+	// answerOverhead is the part of the time to the first event that does not depend on the prompt.
+	answerOverhead = 20 * time.Millisecond
+	// slowGain is the weight of one observation of an engine's slowness; slowMax bounds it.
+	slowGain = 0.2
+	slowMax  = 8.0
+	// adapterTime is the expected time of an order for an adapter and of its load.
+	adapterTime = 14 * time.Millisecond
+	// reportLag bounds the age of what a report shows.
+	reportLag = time.Second
+	// domainCost is the disadvantage of an engine in another failure domain.
+	domainCost = 3 * time.Millisecond
+	// callCost is the slowdown of a call by each call that an engine already has.
+	callCost = 500 * time.Microsecond
+	// cacheShare is the part of an engine's memory that keeps prompt parts.
+	cacheShare = 0.75
+	// memoryShare is the part of an engine's memory beyond which calls may be preempted.
+	memoryShare = 0.9
+	// crowded is the disadvantage of an engine without room for the call.
+	crowded = 2 * time.Second
+	// downFirst and downMost bound how long an engine is avoided after failures.
+	downFirst = 150 * time.Millisecond
+	downMost  = 2 * time.Second
+	// demandTime is the time over which demand is averaged.
+	demandTime = 2500 * time.Millisecond
+	// outputCost is the engine time of an output token while others share its step.
+	outputCost = 200 * time.Microsecond
+	// minRetryAfter and maxRetryAfter bound what a refusal tells its caller.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+)
+
+// Desk decides for the engines of all services; the zero value is ready.
+type Desk struct {
+	// Places tells that models and adapters are being placed, so calls may wait for them.
+	Places bool
+	// FirstTicket sets the tickets of this desk apart from those of others.
+	FirstTicket uint64
+
+	config  *site.Config
+	engines map[string]*engine
+	tickets map[uint64]*ticket
+	waiting []*ask
+	next    uint64
+	costs   map[string]time.Duration // reading time of a prompt token by model
+	demand  map[string]*demand
+	needs   []AdapterNeed
+}
+
+type demand struct {
+	work  float64
+	at    time.Time
+	asked bool
+}
+
+// SetConfig takes a version of the configuration into force.
+func (d *Desk) SetConfig(c *site.Config) {
+	d.init()
+	d.config = c
+}
+
+// SetUpstreams replaces the engines that exist; an engine with a new boot has forgotten everything.
+func (d *Desk) SetUpstreams(now time.Time, list []*site.Upstream) {
+	d.init()
+	for _, e := range d.engines {
+		e.known = false
+	}
+	for _, u := range list {
+		kind := d.kind(u.Service)
+		if kind == nil {
+			continue
+		}
+		e := d.engines[u.ID]
+		if e == nil || e.Boot != u.Boot {
+			e = newEngine(u, kind.KVTokens)
+			d.engines[u.ID] = e
+			e.setModels(now, u.Models, nil)
+		}
+		if u.Sequence > e.Sequence || u.Sequence == e.Sequence && e.Revision < u.Revision {
+			e.setModels(now, u.Models, nil)
+		}
+		sequence := max(u.Sequence, e.Sequence)
+		e.Upstream = *u
+		e.Sequence = sequence
+		e.known = true
+	}
+	for id, e := range d.engines {
+		if !e.known && len(e.tickets) == 0 {
+			delete(d.engines, id)
+		}
+	}
+}
+
+// SetReport takes over an engine's report unless it is older than what is known.
+func (d *Desk) SetReport(now time.Time, id string, r *site.Report) {
+	d.init()
+	e := d.engines[id]
+	if e == nil || r.Boot != e.Boot || r.Sequence < e.Sequence {
+		return
+	}
+	e.Sequence = r.Sequence
+	e.InRAM, e.OnDisk = r.InRAM, r.OnDisk
+	incoming := make(map[adapterKey]bool, len(r.Incoming))
+	for _, name := range r.Incoming {
+		incoming[parseAdapter(name)] = true
+	}
+	e.setModels(now, r.Models, incoming)
+	if r.KVTotal > 0 {
+		e.kvTotal = r.KVTotal
+	}
+}
+
+// Accepted notes that an engine accepted an order, and the number of orders that it has accepted by now.
+func (d *Desk) Accepted(now time.Time, id string, o *site.Order, sequence int64) {
+	e := d.engines[id]
+	if e == nil {
+		return
+	}
+	e.Sequence = max(e.Sequence, sequence)
+	switch k := (adapterKey{o.Model, o.Adapter}); {
+	case o.Adapter != "" && o.Unload:
+		delete(e.adapters, k)
+	case o.Adapter != "":
+		a := e.adapter(now, k)
+		a.pending, a.ready = false, now.Add(adapterTime)
+	case o.Unload:
+		delete(e.models, o.Model)
+	default:
+		e.loading[o.Model] = now
+	}
+}
+
+// Close stops sending calls for a model to an engine that is about to unload it.
+func (d *Desk) Close(id, model string) {
+	if e := d.engines[id]; e != nil {
+		e.closed[model] = true
+	}
+}
+
+// Reopen undoes Close after an order that was not carried out.
+func (d *Desk) Reopen(id, model string) {
+	if e := d.engines[id]; e != nil {
+		delete(e.closed, model)
+	}
+}
+
+// AdapterFailed lets another attempt to load an adapter follow.
+func (d *Desk) AdapterFailed(id, model, name string) {
+	e := d.engines[id]
+	if e == nil {
+		return
+	}
+	if a := e.adapters[adapterKey{model, name}]; a != nil && a.calls == 0 {
+		delete(e.adapters, adapterKey{model, name})
+	}
+}
+
+// Ask decides on a call, or keeps it until Step decides.
+func (d *Desk) Ask(now time.Time, q Ask) Decision {
+	d.init()
+	kind := d.kind(q.Service)
+	if kind == nil || kind.Model(q.Demand.Model) == nil {
+		return Decision{Kind: Refused, Call: q.Call, Reason: ReasonUnknown, RetryAfter: minRetryAfter}
+	}
+	if len(q.Tried) == 0 {
+		d.count(now, &q)
+	}
+	a := &ask{Ask: q, arrived: now, deadline: now.Add(q.Left)}
+	got := d.decide(now, a)
+	if got.Kind == Waiting {
+		d.waiting = append(d.waiting, a)
+	}
+	return got
+}
+
+// Cancel forgets a call that waits.
+func (d *Desk) Cancel(call string) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(a *ask) bool { return a.Call == call })
+}
+
+// Step decides on calls that wait.
+func (d *Desk) Step(now time.Time) []Decision {
+	if len(d.waiting) == 0 {
+		return nil
+	}
+	var out []Decision
+	kept := d.waiting[:0]
+	for _, a := range d.waiting {
+		got := d.decide(now, a)
+		if got.Kind == Waiting {
+			kept = append(kept, a)
+			continue
+		}
+		out = append(out, got)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+	return out
+}
+
+// Waiting returns the number of calls that wait.
+func (d *Desk) Waiting() int { return len(d.waiting) }
+
+// AdapterNeeds returns the adapters to load since the last call.
+func (d *Desk) AdapterNeeds() []AdapterNeed {
+	out := d.needs
+	d.needs = nil
+	return out
+}
+
+// Hold takes over a ticket that another desk granted.
+func (d *Desk) Hold(now time.Time, h Held) {
+	d.init()
+	e := d.engines[h.Grant.Engine]
+	if e == nil || d.tickets[h.Grant.Ticket] != nil {
+		return
+	}
+	t := d.ticket(now, e, &ask{Ask: h.Ask})
+	delete(d.tickets, t.id)
+	t.id, t.first = h.Grant.Ticket, h.First
+	d.tickets[t.id] = t
+	e.add(now, t)
+}
+
+// First notes the first event of a call's answer.
+func (d *Desk) First(now time.Time, id uint64) {
+	t := d.tickets[id]
+	if t == nil || t.first {
+		return
+	}
+	t.first = true
+	e := t.engine
+	e.settle(now)
+	e.failures = 0
+	took := now.Sub(t.granted) - answerOverhead
+	if t.tokens < learnTokens || !t.alone || took <= 0 {
+		return
+	}
+	model := t.ask.Demand.Model
+	cost := d.cost(model)
+	seen := took / time.Duration(t.tokens)
+	ratio := min(float64(seen)/float64(cost), slowMax)
+	e.slow += slowGain * (ratio - e.slow)
+	d.costs[model] = cost + time.Duration(learnGain*float64(min(seen, 2*cost)-cost))
+}
+
+// Done ends a ticket.
+func (d *Desk) Done(now time.Time, id uint64, how Outcome) {
+	t := d.tickets[id]
+	if t == nil {
+		return
+	}
+	delete(d.tickets, id)
+	e := t.engine
+	e.remove(now, t)
+	switch how {
+	case Served, Left:
+		if how == Served {
+			e.failures = 0
+		}
+	case Absent:
+		if k := t.key(); k.name != "" {
+			delete(e.adapters, k)
+		}
+	case Broken:
+		e.failures++
+		e.down = now.Add(min(downFirst<<min(e.failures-1, 8), downMost))
+		e.cache = newCache(e.cache.room)
+	case NotRun:
+		e.down = now.Add(downFirst)
+	}
+}
+
+// Needs returns the recent work of every model that was asked for.
+func (d *Desk) Needs(now time.Time) map[string]ModelNeed {
+	out := make(map[string]ModelNeed, len(d.demand))
+	for name, m := range d.demand {
+		out[name] = ModelNeed{Work: m.decayed(now), Asked: m.asked}
+	}
+	for _, a := range d.waiting {
+		if a.engine != "" {
+			continue
+		}
+		n := out[a.Demand.Model]
+		n.Waiting++
+		out[a.Demand.Model] = n
+	}
+	return out
+}
+
+// Calls returns the number of tickets for a model on an engine.
+func (d *Desk) Calls(id, model string) int {
+	if e := d.engines[id]; e != nil {
+		return e.callsFor(model)
+	}
+	return 0
+}
+
+// Backlog returns how long an engine will read prompts that were sent before.
+func (d *Desk) Backlog(now time.Time, id string) time.Duration {
+	if e := d.engines[id]; e != nil {
+		return e.wait(now)
+	}
+	return 0
+}
+
+func (d *Desk) init() {
+	if d.engines != nil {
+		return
+	}
+	d.engines = make(map[string]*engine)
+	d.tickets = make(map[uint64]*ticket)
+	d.costs = make(map[string]time.Duration)
+	d.demand = make(map[string]*demand)
+	d.next = d.FirstTicket
+}
+
+func (d *Desk) kind(service string) *site.EngineKind {
+	if d.config == nil {
+		return nil
+	}
+	return d.config.Services[service].Engine
+}
+
+func (d *Desk) cost(model string) time.Duration {
+	if c := d.costs[model]; c > 0 {
+		return c
+	}
+	return firstTokenCost
+}
+
+// count adds the call's work to its model's demand.
+func (d *Desk) count(now time.Time, q *Ask) {
+	m := d.demand[q.Demand.Model]
+	if m == nil {
+		m = &demand{at: now}
+		d.demand[q.Demand.Model] = m
+	}
+	m.asked = true
+	fresh := q.Demand.PromptTokens
+	if n := len(q.Demand.Parts); n > 0 {
+		fresh = q.Demand.Parts[n-1].Tokens
+	}
+	work := time.Duration(fresh)*d.cost(q.Demand.Model) + time.Duration(q.Demand.OutputTokens)*outputCost
+	m.work = m.decayed(now) + work.Seconds()/demandTime.Seconds()
+	m.at = now
+}
+
+func (m *demand) decayed(now time.Time) float64 {
+	return m.work * math.Exp(-now.Sub(m.at).Seconds()/demandTime.Seconds())
+}
--- /dev/null
+++ b/internal/desk/engine.go
@@ -0,0 +1,132 @@
+package desk
+
+import (
+	"time"
+
+	"github.com/figreel/figreel/internal/site"
+)
+
+type engine struct {
+	site.Upstream
+	tickets  map[uint64]*ticket
+	cache    *cache
+	adapters map[adapterKey]*adapter
+	models   map[string]bool
+	closed   map[string]bool // models that are being unloaded
+	loading  map[string]time.Time
+	// reading is when all prompts that were sent are expected to have been read.
+	reading  time.Time
+	memory   int // tokens of the calls that are there
+	kvTotal  int
+	down     time.Time // not to be used before
+	failures int
+	slow     float64 // observed time to the first event as a part of the expected one
+	known    bool
+}
+
+func newEngine(u *site.Upstream, kvTokens int) *engine {
+	return &engine{
+		Upstream: *u, tickets: make(map[uint64]*ticket), cache: newCache(int(cacheShare * float64(kvTokens))),
+		adapters: make(map[adapterKey]*adapter), models: make(map[string]bool), closed: make(map[string]bool),
+		loading: make(map[string]time.Time), kvTotal: kvTokens, slow: 1,
+	}
+}
+
+// setModels takes over what the engine says that it holds.
+func (e *engine) setModels(now time.Time, list []site.Resident, incoming map[adapterKey]bool) {
+	e.models = make(map[string]bool, len(list))
+	held := make(map[adapterKey]bool)
+	for _, m := range list {
+		e.models[m.Name] = true
+		delete(e.loading, m.Name)
+		for _, a := range m.Adapters {
+			held[adapterKey{m.Name, a}] = true
+		}
+	}
+	for name := range e.closed {
+		if !e.models[name] {
+			delete(e.closed, name)
+		}
+	}
+	for k := range held {
+		a := e.adapters[k]
+		if a == nil {
+			a = &adapter{lastUse: now}
+			e.adapters[k] = a
+		}
+		a.pending = false
+	}
+	for k, a := range e.adapters {
+		settled := now.Sub(a.ready) > reportLag
+		if !held[k] && !incoming[k] && settled && a.calls == 0 || !e.models[k.model] {
+			delete(e.adapters, k)
+		}
+	}
+}
+
+// wait is how long the engine will read prompts that were sent before.
+func (e *engine) wait(now time.Time) time.Duration { return max(e.reading.Sub(now), 0) }
+
+// serves reports whether calls for the model may be sent to the engine.
+func (e *engine) serves(now time.Time, model string) bool {
+	return e.known && !e.Leaving && e.models[model] && !e.closed[model] && !now.Before(e.down)
+}
+
+func (e *engine) add(now time.Time, t *ticket) {
+	e.tickets[t.id] = t
+	e.memory += t.memory
+	if !t.first {
+		e.reading = now.Add(e.wait(now) + t.prefill)
+	}
+	if t.ask.Demand.Adapter != "" {
+		a := e.adapter(now, t.key())
+		a.calls++
+		a.lastUse = now
+	}
+}
+
+func (e *engine) adapter(now time.Time, k adapterKey) *adapter {
+	a := e.adapters[k]
+	if a == nil {
+		a = &adapter{lastUse: now}
+		e.adapters[k] = a
+	}
+	return a
+}
+
+// remove forgets a ticket and frees what it took.
+func (e *engine) remove(now time.Time, t *ticket) {
+	delete(e.tickets, t.id)
+	e.memory -= t.memory
+	if !t.first {
+		e.settle(now)
+	}
+	if a := e.adapters[t.key()]; a != nil {
+		a.calls = max(a.calls-1, 0)
+	}
+}
+
+// settle sums the prompts that are still to be read after one was read or went away.
+func (e *engine) settle(now time.Time) {
+	var rest time.Duration
+	for _, t := range e.tickets {
+		if !t.first {
+			rest += t.prefill
+		}
+	}
+	if until := now.Add(rest); until.Before(e.reading) {
+		e.reading = until
+	}
+}
+
+func (e *engine) callsFor(model string) int {
+	n := 0
+	for _, t := range e.tickets {
+		if t.ask.Demand.Model == model {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *ticket) key() adapterKey { return adapterKey{t.ask.Demand.Model, t.ask.Demand.Adapter} }
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/desk"
+	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/site"
+)
+
+// streamBuffer is the size of one read from an upstream's stream.
+const streamBuffer = 8 << 10
+
+// serveModel sends the call to engines until one has answered to the end.
+func (c *call) serveModel() {
+	c.lastID = c.r.Header.Get(c.s.Names.LastEvent)
+	for {
+		got, err := c.s.Tickets.Ask(c.ctx, c.ask())
+		if err != nil {
+			c.giveUp(reasonDeadline)
+			return
+		}
+		if got.Kind == desk.Refused {
+			c.refused(got)
+			return
+		}
+		v, how := c.attemptModel(got.Grant)
+		c.s.Tickets.Done(got.Grant, how)
+		if v == answered {
+			return
+		}
+		if !c.mayRetry() {
+			c.giveUp(reasonRejected)
+			return
+		}
+	}
+}
+
+func (c *call) refused(got desk.Decision) {
+	if c.begun || c.mayRun {
+		c.giveUp(got.Reason)
+		return
+	}
+	c.refuse(got.Reason, got.RetryAfter)
+}
+
+func (c *call) ask() desk.Ask {
+	return desk.Ask{
+		Call: c.id, Service: c.service, Domain: c.s.Domain, Demand: c.demand, Priority: c.route.Priority,
+		Target: c.route.Target, Left: time.Until(c.deadline), Tried: c.tried,
+	}
+}
+
+func (c *call) attemptModel(g desk.Grant) (verdict, desk.Outcome) {
+	c.tried = append(c.tried, g.Engine)
+	c.first = false
+	a, err := c.s.Pool.Do(c.ctx, c.request(g.Addr, g.Engine))
+	if errors.Is(err, h1.ErrNotSent) {
+		c.s.Stats.Retry("not_sent")
+		return again, c.blame()
+	}
+	c.attempts++
+	if err != nil {
+		return c.broken(), c.blame()
+	}
+	if a.Status == http.StatusOK && c.route.Kind == site.Stream {
+		return c.stream(a, g)
+	}
+	body, err := a.All(MaxAnswerBytes)
+	if err != nil {
+		return c.broken(), c.blame()
+	}
+	how := desk.Served
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		how = desk.Absent
+	case c.rejected(a):
+		how = desk.NotRun
+	case a.Status >= http.StatusInternalServerError:
+		how = desk.Broken
+	}
+	return c.judge(a, body), how
+}
+
+// blame tells whether a failure was the upstream's or the end of the call.
+func (c *call) blame() desk.Outcome {
+	if c.ctx.Err() != nil {
+		return desk.Left
+	}
+	return desk.Broken
+}
+
+// stream relays events until the stream ends; the answer begins with the first event.
+func (c *call) stream(a *h1.Answer, g desk.Grant) (verdict, desk.Outcome) {
+	silence := max(time.Duration(gapFactor*float64(c.route.GapTarget)), minGap)
+	var quiet *time.Timer
+	stop := func() {
+		if quiet != nil {
+			quiet.Stop()
+		}
+	}
+	defer stop()
+	c.mayRun = true
+	var pending []byte
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := a.Read(buf)
+		pending = append(pending, buf[:n]...)
+		if end := lastEvent(pending); end > 0 {
+			c.sendEvents(a, g, pending[:end])
+			pending = append(pending[:0], pending[end:]...)
+			if quiet == nil {
+				quiet = time.AfterFunc(silence, a.Close)
+			} else {
+				quiet.Reset(silence)
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && c.begun:
+			c.log(a.Status, "")
+			return answered, desk.Served
+		default:
+			return c.cut()
+		}
+	}
+}
+
+// cut handles a stream that broke: a resumable one goes on at another engine.
+func (c *call) cut() (verdict, desk.Outcome) {
+	how := c.blame()
+	if c.gone() {
+		c.log(0, reasonCallerLeft)
+		return c.abort(), how
+	}
+	if c.ctx.Err() == nil && c.route.Resumable && c.attempts < c.route.MaxAttempts {
+		c.s.Stats.Retry("stream_cut")
+		return again, how
+	}
+	if c.begun {
+		c.log(0, reasonStreamCut)
+		return c.abort(), how
+	}
+	return c.broken(), how
+}
+
+// abort remembers to break the caller's connection off once the ticket is returned.
+func (c *call) abort() verdict {
+	c.aborted = true
+	return answered
+}
+
+// sendEvents sends whole events that the caller does not have yet.
+func (c *call) sendEvents(a *h1.Answer, g desk.Grant, events []byte) {
+	if !c.first {
+		c.first = true
+		c.s.Tickets.First(g)
+	}
+	if !c.begun {
+		copyHeader(c.w.Header(), a.Header)
+		c.w.WriteHeader(a.Status)
+		c.begun = true
+	}
+	if id := lastID(events); id != "" {
+		c.lastID = id
+	}
+	_, _ = c.w.Write(events)
+	if f, ok := c.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// lastEvent returns the end of the last whole event.
+func lastEvent(b []byte) int {
+	i := bytes.LastIndex(b, []byte("\n\n"))
+	if i < 0 {
+		return 0
+	}
+	return i + len("\n\n")
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) string {
+	id := ""
+	for line := range strings.SplitSeq(string(events), "\n") {
+		if v, ok := strings.CutPrefix(line, "id:"); ok {
+			id = strings.TrimSpace(v)
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/internal/native/steer.go
@@ -0,0 +1,339 @@
+package native
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figreel/figreel/internal/clock"
+	"github.com/figreel/figreel/internal/desk"
+	"github.com/figreel/figreel/internal/seat"
+	"github.com/figreel/figreel/internal/site"
+	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/stock"
+)
+
+const (
+	// planEvery is the pause between two plans.
+	planEvery = 100 * time.Millisecond
+	// reportEvery is the age at which a report is renewed; while an order is carried out it is reportSoon.
+	reportEvery = time.Second
+	reportSoon  = 150 * time.Millisecond
+	// reportTimeout and orderTimeout bound one call to an engine.
+	reportTimeout = 500 * time.Millisecond
+	orderTimeout  = 700 * time.Millisecond
+	// doubtTime is how long an order without an answer keeps the engine from other orders for models.
+	doubtTime = 2 * time.Second
+)
+
+// steer sends orders to engines while this host holds the seat.
+type steer struct {
+	self    string
+	seat    *seat.Seat
+	view    *view
+	desk    *dispatch
+	engines Engines
+	stats   *stats.Set
+	log     zerolog.Logger
+
+	mu       sync.Mutex
+	helms    map[string]*helm
+	planners map[string]*stock.Planner
+}
+
+// helm is the order of events at one engine; its orders go out one after another.
+type helm struct {
+	up       site.Upstream
+	turn     sync.Mutex
+	mu       sync.Mutex
+	sequence int64
+	report   *site.Report
+	asked    time.Time
+	polling  bool
+	loading  string
+	closing  string
+	began    time.Time
+	doubt    time.Time
+	sending  bool
+}
+
+// run plans until ctx ends.
+func (s *steer) run(ctx context.Context) {
+	s.helms = make(map[string]*helm)
+	s.planners = make(map[string]*stock.Planner)
+	for clock.Sleep(ctx, planEvery) {
+		if !s.seat.Held() {
+			continue
+		}
+		s.refresh()
+		s.poll(ctx)
+		s.plan(ctx)
+	}
+}
+
+// refresh takes over which engines exist.
+func (s *steer) refresh() {
+	var ups []*site.Upstream
+	s.desk.with(func(_ time.Time, k *desk.Desk) { ups = k.Engines() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := make(map[string]bool, len(ups))
+	for _, u := range ups {
+		seen[u.ID] = true
+		h := s.helms[u.ID]
+		if h == nil || h.up.Boot != u.Boot {
+			s.helms[u.ID] = &helm{up: *u, sequence: u.Sequence}
+			continue
+		}
+		h.mu.Lock()
+		h.up = *u
+		h.sequence = max(h.sequence, u.Sequence)
+		h.mu.Unlock()
+	}
+	for id := range s.helms {
+		if !seen[id] {
+			delete(s.helms, id)
+		}
+	}
+}
+
+func (s *steer) poll(ctx context.Context) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.helms {
+		h.mu.Lock()
+		age := reportEvery
+		if h.loading != "" || h.closing != "" || h.report == nil || !h.doubt.IsZero() {
+			age = reportSoon
+		}
+		due := !h.polling && now.Sub(h.asked) >= age
+		if due {
+			h.polling, h.asked = true, now
+		}
+		h.mu.Unlock()
+		if due {
+			go s.ask(ctx, h)
+		}
+	}
+}
+
+// ask fetches a report and takes it over.
+func (s *steer) ask(ctx context.Context, h *helm) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	h.mu.Lock()
+	up := h.up
+	h.mu.Unlock()
+	r, err := s.engines.Report(ctx, &up)
+	h.mu.Lock()
+	h.polling = false
+	if err != nil {
+		h.mu.Unlock()
+		s.stats.Count("report_failed")
+		return
+	}
+	if r.Boot == 0 {
+		r.Boot = up.Boot
+	}
+	if r.Boot != up.Boot || r.Sequence < h.sequence {
+		h.mu.Unlock()
+		return
+	}
+	if r.Sequence > h.sequence && !h.doubt.IsZero() {
+		s.log.Info().Str("upstream", up.ID).Int64("sequence", r.Sequence).Msg("order without an answer was accepted")
+		h.doubt = time.Time{}
+	}
+	h.sequence, h.report = r.Sequence, r
+	s.settle(h, r)
+	h.mu.Unlock()
+	s.desk.with(func(now time.Time, k *desk.Desk) { k.SetReport(now, up.ID, r) })
+}
+
+// settle ends an order that the report shows to be done.
+func (s *steer) settle(h *helm, r *site.Report) {
+	holds := func(model string) bool {
+		return slices.ContainsFunc(r.Models, func(m site.Resident) bool { return m.Name == model })
+	}
+	if h.sending || r.Busy {
+		return
+	}
+	if h.loading != "" && (holds(h.loading) || time.Since(h.began) > reportEvery) {
+		s.log.Info().Str("upstream", h.up.ID).Str("model", h.loading).Bool("held", holds(h.loading)).
+			Dur("took_ms", time.Since(h.began)).Msg("load ended")
+		h.loading = ""
+	}
+	if h.closing != "" && (!holds(h.closing) || time.Since(h.began) > reportEvery) {
+		h.closing = ""
+	}
+}
+
+func (s *steer) plan(ctx context.Context) {
+	if _, ok := s.seat.Token(); !ok {
+		return
+	}
+	c := s.view.Config()
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	byService := make(map[string][]stock.Engine)
+	var needs map[string]desk.ModelNeed
+	s.desk.with(func(now time.Time, k *desk.Desk) { needs = k.Needs(now) })
+	s.mu.Lock()
+	for _, h := range s.helms {
+		byService[h.up.Service] = append(byService[h.up.Service], s.engine(now, h))
+	}
+	s.mu.Unlock()
+	for name, list := range byService {
+		kind := c.Services[name].Engine
+		if kind == nil {
+			continue
+		}
+		p := s.planners[name]
+		if p == nil {
+			p = &stock.Planner{}
+			s.planners[name] = p
+		}
+		p.Kind = kind
+		slices.SortFunc(list, func(a, b stock.Engine) int { return compare(a.ID, b.ID) })
+		for _, o := range p.Plan(now, list, needs) {
+			go s.carryOut(ctx, p, o)
+		}
+	}
+}
+
+// engine describes an engine to the planner.
+func (s *steer) engine(now time.Time, h *helm) stock.Engine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := stock.Engine{
+		ID: h.up.ID, Domain: h.up.Domain, Loading: h.loading, Closing: h.closing, Calls: make(map[string]int),
+		Busy: h.report == nil || h.report.Busy || h.report.Sequence != h.sequence || h.sending || now.Before(h.doubt),
+	}
+	if h.report != nil {
+		e.InRAM, e.OnDisk = h.report.InRAM, h.report.OnDisk
+		for _, m := range h.report.Models {
+			e.Held = append(e.Held, m.Name)
+		}
+	}
+	s.desk.mu.Lock()
+	for _, m := range e.Held {
+		e.Calls[m] = s.desk.desk.Calls(e.ID, m)
+	}
+	e.Backlog = s.desk.desk.Backlog(now, e.ID)
+	s.desk.mu.Unlock()
+	return e
+}
+
+// carryOut sends an order for a model.
+func (s *steer) carryOut(ctx context.Context, p *stock.Planner, o stock.Order) {
+	s.mu.Lock()
+	h := s.helms[o.Engine]
+	s.mu.Unlock()
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	if h.sending {
+		h.mu.Unlock()
+		return
+	}
+	h.sending, h.began = true, time.Now()
+	if o.Unload {
+		h.closing = o.Model
+	} else {
+		h.loading = o.Model
+	}
+	h.mu.Unlock()
+	if o.Unload {
+		s.desk.with(func(_ time.Time, k *desk.Desk) { k.Close(o.Engine, o.Model) })
+	}
+	got := s.send(ctx, h, site.Order{Unload: o.Unload, Model: o.Model})
+	h.mu.Lock()
+	h.sending = false
+	if got != site.OrderAccepted {
+		h.loading, h.closing = "", ""
+	}
+	h.mu.Unlock()
+	if got == site.OrderAccepted {
+		return
+	}
+	s.desk.with(func(_ time.Time, k *desk.Desk) { k.Reopen(o.Engine, o.Model) })
+}
+
+// adapters carries out orders for adapters, engine by engine.
+func (s *steer) adapters(ctx context.Context, needs []desk.AdapterNeed) {
+	for _, n := range needs {
+		s.mu.Lock()
+		h := s.helms[n.Engine]
+		s.mu.Unlock()
+		if h == nil {
+			s.adapterFailed(n)
+			continue
+		}
+		go s.adapter(ctx, h, n)
+	}
+}
+
+func (s *steer) adapter(ctx context.Context, h *helm, n desk.AdapterNeed) {
+	if n.EvictAdapter != "" {
+		s.send(ctx, h, site.Order{Unload: true, Model: n.EvictModel, Adapter: n.EvictAdapter})
+	}
+	got := s.send(ctx, h, site.Order{Model: n.Model, Adapter: n.Adapter})
+	if got != site.OrderAccepted && got != site.OrderHolds {
+		s.adapterFailed(n)
+	}
+}
+
+func (s *steer) adapterFailed(n desk.AdapterNeed) {
+	s.desk.with(func(_ time.Time, k *desk.Desk) { k.AdapterFailed(n.Engine, n.Model, n.Adapter) })
+}
+
+// send sends one order under the number of orders that the engine has accepted, so that a late copy has no effect.
+func (s *steer) send(ctx context.Context, h *helm, o site.Order) site.OrderResult {
+	h.turn.Lock()
+	defer h.turn.Unlock()
+	h.mu.Lock()
+	up := h.up
+	o.Expected = h.sequence
+	h.mu.Unlock()
+	token, ok := s.seat.Token()
+	if !ok {
+		return site.OrderRejected
+	}
+	o.Holder, o.Token = s.self, token
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	start := time.Now()
+	got, err := s.engines.Order(ctx, &up, &o)
+	s.log.Info().Err(err).Str("upstream", up.ID).Bool("unload", o.Unload).Str("model", o.Model).
+		Str("adapter", o.Adapter).Int64("expected", o.Expected).Int64("token", o.Token).Uint8("result", uint8(got)).
+		Dur("took_ms", time.Since(start)).Msg("order")
+	h.mu.Lock()
+	switch got {
+	case site.OrderAccepted:
+		h.sequence = o.Expected + 1
+	case site.OrderUnknown:
+		h.doubt = time.Now().Add(doubtTime)
+	}
+	h.asked = time.Time{}
+	h.mu.Unlock()
+	if got == site.OrderAccepted || got == site.OrderHolds {
+		s.desk.with(func(now time.Time, k *desk.Desk) { k.Accepted(now, up.ID, &o, h.sequence) })
+	}
+	return got
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/native/types.go
@@ -0,0 +1,64 @@
+package native
+
+import (
+	"context"
+	"time"
+
+	"github.com/figreel/figreel/internal/entry"
+	"github.com/figreel/figreel/internal/site"
+	"github.com/figreel/figreel/internal/store"
+)
+
+type (
+	// Settings are those of one host.
+	Settings struct {
+		Name          string
+		Domain        string // failure domain
+		Front         string // where callers connect
+		ReadyAddr     string // where the platform asks whether the host is ready
+		Directory     string // where callers ask for addresses
+		Link          string // where other hosts connect
+		StoreAddr     string
+		MemoryMB      int
+		DrainTime     time.Duration // after which a leaving upstream gets no calls
+		Grace         time.Duration // between the signal to stop and the end of the process
+		RetryRatio    float64       // further attempts as a part of the calls
+		RetryWindow   time.Duration
+		RetrySlack    float64       // further attempts that are free within the window
+		TurnTime      time.Duration // between orders of different hosts
+		CeilingWindow time.Duration // over which loads from the weight store are counted
+		AddressTTL    time.Duration // for which callers may keep addresses at most
+		MinLease      time.Duration
+	}
+
+	// Platform translates what the platform says; all fields are set before use.
+	Platform struct {
+		Store          store.Store
+		ConfigPrefix   string
+		UpstreamPrefix string
+		// Config decodes an item below ConfigPrefix; nil means that the item is something else.
+		Config func(store.Item) (*site.Config, error)
+		// Upstream decodes an item below UpstreamPrefix.
+		Upstream func(store.Item) (*site.Upstream, error)
+		Engines  Engines
+		Names    entry.Names
+		Describe entry.Describe
+		// Serve answers the platform's questions about this host until ctx ends.
+		Serve func(ctx context.Context, questions Questions) error
+	}
+
+	// Questions are what the platform and callers may ask a host.
+	Questions struct {
+		ReadyAddr     string
+		DirectoryAddr string
+		Ready         func() bool
+		// Addresses returns where callers of a failure domain may connect, and for how long they may keep the answer.
+		Addresses func(domain string) ([]string, time.Duration)
+	}
+
+	// Engines sends reports and orders; an order is sent once at most.
+	Engines interface {
+		Report(ctx context.Context, u *site.Upstream) (*site.Report, error)
+		Order(ctx context.Context, u *site.Upstream, o *site.Order) (site.OrderResult, error)
+	}
+)
--- /dev/null
+++ b/internal/native/view.go
@@ -0,0 +1,364 @@
+package native
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figreel/figreel/internal/clock"
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/seat"
+	"github.com/figreel/figreel/internal/site"
+	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/store"
+)
+
+const (
+	// listTimeout bounds one list call.
+	listTimeout = 1500 * time.Millisecond
+	// watchWait is how long a watch may wait; a longer wait costs fewer calls, and dead connections end it sooner.
+	watchWait = 10 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call to the store.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+	// lapseTime keeps upstreams and hosts whose entries ended while the store had trouble; those that live write them
+	// again within that time.
+	lapseTime = 1700 * time.Millisecond
+	// troubleTime is how long after a failed call ended entries are doubted.
+	troubleTime = 5 * time.Second
+)
+
+// view is what this host knows from the store.
+type view struct {
+	platform *Platform
+	stats    *stats.Set
+	log      zerolog.Logger
+	seat     *seat.Seat
+	changed  func()
+
+	mu        sync.Mutex
+	config    *site.Config
+	parts     map[string]*part
+	upstreams map[string]*site.Upstream
+	hosts     map[string]site.Host
+	trouble   time.Time // last failed call to the store
+}
+
+// part is the copy of what lies below one prefix.
+type part struct {
+	prefix   string
+	items    map[string]store.Item
+	lapsed   map[string]time.Time // ended entries that are still believed, until then
+	revision int64
+	failing  bool
+}
+
+func newView(p *Platform, s *seat.Seat, st *stats.Set, log zerolog.Logger) *view {
+	v := &view{
+		platform: p, seat: s, stats: st, log: log, parts: make(map[string]*part),
+		upstreams: make(map[string]*site.Upstream), hosts: make(map[string]site.Host),
+	}
+	for _, prefix := range v.prefixes() {
+		v.parts[prefix] = &part{prefix: prefix, items: make(map[string]store.Item), lapsed: make(map[string]time.Time)}
+	}
+	return v
+}
+
+func (v *view) prefixes() []string {
+	return []string{v.platform.ConfigPrefix, v.platform.UpstreamPrefix, seat.Prefix}
+}
+
+// run follows one prefix until ctx ends.
+func (v *view) run(ctx context.Context, prefix string) {
+	pause := retryFirst
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = v.watch(ctx, prefix)
+		} else {
+			err = v.list(ctx, prefix)
+		}
+		if err == nil {
+			listed, pause = true, retryFirst
+			continue
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			v.log.Info().Str("prefix", prefix).Msg("history dropped, reading all")
+			listed = false
+			continue
+		}
+		v.failed(prefix, err)
+		clock.Sleep(ctx, pause)
+		pause = min(2*pause, retryMost)
+	}
+}
+
+func (v *view) list(ctx context.Context, prefix string) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, revision, err := v.platform.Store.List(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	v.regained(prefix)
+	v.replace(link.List{Prefix: prefix, Revision: revision, Items: items})
+	return nil
+}
+
+func (v *view) watch(ctx context.Context, prefix string) error {
+	v.mu.Lock()
+	after := v.parts[prefix].revision
+	v.mu.Unlock()
+	events, revision, err := v.platform.Store.Watch(ctx, prefix, after, watchWait)
+	if err != nil {
+		return err
+	}
+	v.regained(prefix)
+	v.apply(prefix, events, revision)
+	return nil
+}
+
+func (v *view) failed(prefix string, err error) {
+	v.mu.Lock()
+	p := v.parts[prefix]
+	first := !p.failing
+	p.failing = true
+	v.trouble = time.Now()
+	v.mu.Unlock()
+	if first {
+		v.log.Warn().Err(err).Str("prefix", prefix).Msg("store lost")
+	}
+}
+
+func (v *view) regained(prefix string) {
+	v.mu.Lock()
+	p := v.parts[prefix]
+	was := p.failing
+	p.failing = false
+	if was {
+		v.trouble = time.Now()
+	}
+	v.mu.Unlock()
+	if was {
+		v.log.Info().Str("prefix", prefix).Msg("store regained")
+	}
+}
+
+// failing reports whether the last call for some prefix failed.
+func (v *view) failing() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.parts {
+		if p.failing {
+			return true
+		}
+	}
+	return false
+}
+
+// replace takes over all items of a prefix unless they are older than what is known.
+func (v *view) replace(l link.List) {
+	v.mu.Lock()
+	p := v.parts[l.Prefix]
+	if p == nil || l.Revision < p.revision {
+		v.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	fresh := make(map[string]store.Item, len(l.Items))
+	for _, it := range l.Items {
+		fresh[it.Key] = it
+	}
+	for key := range p.items {
+		if _, ok := fresh[key]; !ok {
+			v.drop(now, p, key)
+		}
+	}
+	for key, it := range fresh {
+		v.put(p, key, it)
+	}
+	p.revision = l.Revision
+	v.mu.Unlock()
+	if l.Prefix == seat.Prefix {
+		v.seat.Set(l.Items)
+	}
+	v.changed()
+}
+
+func (v *view) apply(prefix string, events []store.Event, revision int64) {
+	v.mu.Lock()
+	p := v.parts[prefix]
+	if revision <= p.revision && len(events) == 0 {
+		v.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	for _, e := range events {
+		if e.Revision <= p.revision {
+			continue
+		}
+		if e.Deleted {
+			v.drop(now, p, e.Key)
+			continue
+		}
+		v.put(p, e.Key, e.Item)
+	}
+	p.revision = max(p.revision, revision)
+	v.mu.Unlock()
+	if prefix == seat.Prefix {
+		v.seat.Apply(events)
+	}
+	if len(events) > 0 {
+		v.changed()
+	}
+}
+
+// put decodes a new item; what cannot be read leaves the last state in force.
+func (v *view) put(p *part, key string, it store.Item) {
+	if old, ok := p.items[key]; ok && old.Revision == it.Revision {
+		return
+	}
+	p.items[key] = it
+	delete(p.lapsed, key)
+	switch p.prefix {
+	case v.platform.ConfigPrefix:
+		c, err := v.platform.Config(it)
+		switch {
+		case err != nil:
+			v.log.Error().Err(err).Msg("configuration cannot be read, the last one stays in force")
+		case c != nil && (v.config == nil || c.Version > v.config.Version):
+			v.config = c
+			v.log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
+		}
+	case v.platform.UpstreamPrefix:
+		u, err := v.platform.Upstream(it)
+		if err != nil {
+			v.log.Warn().Err(err).Msg("entry skipped")
+			delete(v.upstreams, key)
+			return
+		}
+		if old := v.upstreams[key]; old == nil || old.Leaving != u.Leaving || old.Boot != u.Boot {
+			v.log.Info().Str("upstream", u.ID).Str("addr", u.Addr).Bool("leaving", u.Leaving).Int64("boot", u.Boot).
+				Msg("upstream")
+		}
+		u.Revision = it.Revision
+		v.upstreams[key] = u
+	default:
+		if !strings.HasPrefix(key, seat.HostPrefix) {
+			return
+		}
+		var h site.Host
+		if err := json.Unmarshal(it.Value, &h); err != nil {
+			v.log.Warn().Err(err).Str("key", key).Msg("registration skipped")
+			return
+		}
+		v.hosts[key] = h
+	}
+}
+
+// drop forgets an item at once, or after lapseTime when the store had trouble.
+func (v *view) drop(now time.Time, p *part, key string) {
+	delete(p.items, key)
+	if now.Sub(v.trouble) < troubleTime && p.prefix != v.platform.ConfigPrefix {
+		p.lapsed[key] = now.Add(lapseTime)
+		return
+	}
+	v.forget(key)
+}
+
+func (v *view) forget(key string) {
+	if u := v.upstreams[key]; u != nil {
+		v.log.Info().Str("upstream", u.ID).Msg("upstream gone")
+		delete(v.upstreams, key)
+	}
+	delete(v.hosts, key)
+}
+
+// expire forgets lapsed items whose time is over.
+func (v *view) expire(now time.Time) {
+	changed := false
+	v.mu.Lock()
+	for _, p := range v.parts {
+		for key, until := range p.lapsed {
+			if now.After(until) {
+				delete(p.lapsed, key)
+				v.forget(key)
+				changed = true
+			}
+		}
+	}
+	v.mu.Unlock()
+	if changed {
+		v.changed()
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (v *view) Config() *site.Config {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.config
+}
+
+// Upstreams returns those of a service that are not leaving, or all of them when service is empty.
+func (v *view) Upstreams(service string) []*site.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]*site.Upstream, 0, len(v.upstreams))
+	for _, u := range v.upstreams {
+		if service == "" || u.Service == service && !u.Leaving {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(a, b *site.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Hosts returns the registered hosts by name.
+func (v *view) Hosts() []site.Host {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]site.Host, 0, len(v.hosts))
+	for _, h := range v.hosts {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b site.Host) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// news returns the parts that are newer than what another host knows; without known, all revisions alone.
+func (v *view) news(known []link.List) []link.List {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]link.List, 0, len(v.parts))
+	for _, k := range known {
+		p := v.parts[k.Prefix]
+		if p == nil || p.revision <= k.Revision {
+			continue
+		}
+		l := link.List{Prefix: p.prefix, Revision: p.revision}
+		for _, it := range p.items {
+			l.Items = append(l.Items, it)
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// known returns the revisions of all parts.
+func (v *view) known() []link.List {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]link.List, 0, len(v.parts))
+	for _, p := range v.parts {
+		out = append(out, link.List{Prefix: p.prefix, Revision: p.revision})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/site/types.go
@@ -0,0 +1,138 @@
+package site
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Idempotent calls may run more than once.
+	Idempotent Kind = iota
+	// Once marks calls that may run at most once per attempt of the caller.
+	Once
+	// Stream marks calls that are answered by a series of events.
+	Stream
+)
+
+type (
+	// Kind tells how the calls of a route may be repeated and answered.
+	Kind uint8
+
+	// Config is one version of the operators' configuration.
+	Config struct {
+		Version  int64
+		Routes   []Route
+		Services map[string]Service
+		Limits   Limits
+	}
+
+	// Route maps calls of a host name and path prefix to services.
+	Route struct {
+		Name        string
+		Host        string
+		PathPrefix  string
+		Kind        Kind
+		Timeout     time.Duration
+		Target      time.Duration
+		GapTarget   time.Duration
+		Priority    int // 0 is the most urgent
+		Shares      []Share
+		MaxAttempts int
+		Resumable   bool
+	}
+
+	// Share is the weight with which a route uses a service.
+	Share struct {
+		Service string
+		Weight  float64
+	}
+
+	// Service is a set of upstreams with one purpose; Engine is nil for a plain service.
+	Service struct {
+		Name       string
+		HealthPath string
+		MaxConns   int
+		Engine     *EngineKind
+	}
+
+	// EngineKind describes the model engines of a service.
+	EngineKind struct {
+		Slots        int
+		KVTokens     int
+		MemoryMB     float64
+		AdapterSlots int
+		LoadsPerS    float64
+		Models       []Model
+	}
+
+	// Model is a model that the engines of a service can load; times are those of an idle weight store.
+	Model struct {
+		Name      string
+		MemoryMB  float64
+		Load      time.Duration // from the weight store
+		FromDisk  time.Duration // from the engine's disk
+		FromRAM   time.Duration // from the memory of the engine's machine
+		Adapters  int
+		AdapterMB float64
+	}
+
+	// Limits bounds what a caller may send and how long a connection may idle.
+	Limits struct {
+		HeaderBytes int
+		BodyBytes   int64
+		HeaderTime  time.Duration
+		IdleTime    time.Duration
+	}
+
+	// Upstream is one running instance of a service.
+	Upstream struct {
+		ID       string
+		Boot     int64 // start of the instance, distinct for each start under the same ID
+		Service  string
+		Addr     string
+		Domain   string // failure domain
+		Leaving  bool
+		Slots    int
+		Sequence int64 // orders accepted since the start
+		Models   []Resident
+		InRAM    []string // models with a copy of their weights in memory
+		OnDisk   []string // models with a copy of their weights on disk
+		Revision int64    // of the entry that told of it
+	}
+
+	// Resident is a model that an engine holds, with its adapters.
+	Resident struct {
+		Name     string
+		Version  int64
+		Adapters []string
+	}
+
+	// Host is a member of the deployment.
+	Host struct {
+		Name   string `cbor:"1,keyasint"`
+		Front  string `cbor:"2,keyasint"` // address for callers
+		Link   string `cbor:"3,keyasint"` // address for other hosts
+		Domain string `cbor:"4,keyasint"`
+		Ready  bool   `cbor:"5,keyasint"`
+	}
+)
+
+// Holds reports whether the engine holds the model.
+func (u *Upstream) Holds(model string) bool {
+	return slices.ContainsFunc(u.Models, func(r Resident) bool { return r.Name == model })
+}
+
+// Model returns the model of that name, or nil.
+func (k *EngineKind) Model(name string) *Model {
+	for i := range k.Models {
+		if k.Models[i].Name == name {
+			return &k.Models[i]
+		}
+	}
+	return nil
+}
+
+// Repeatable reports whether a call of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
--- /dev/null
+++ b/internal/stock/planner.go
@@ -0,0 +1,274 @@
+package stock
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/figreel/figreel/internal/desk"
+	"github.com/figreel/figreel/internal/site"
+)
+
+const (
+	// fullLoad is the share of an engine's time that one copy of a model should take at most.
+	fullLoad = 0.22
+	// clearGain is how many times the load of a copy must exceed that of the copy that makes way for it.
+	clearGain = 2.0
+	// waitingWork is the work that a call without any copy of its model stands for.
+	waitingWork = 0.3
+	// rateShare is the part of the weight store's rate that is used; lost orders may still be carried out later.
+	rateShare = 0.95
+	// rateBurst is how many loads from the weight store may begin at once.
+	rateBurst = 2.0
+	// settleTime protects a new copy from making way before its calls have arrived.
+	settleTime = 4 * time.Second
+)
+
+type (
+	// Engine is what the planner knows of one engine.
+	Engine struct {
+		ID      string
+		Domain  string
+		Held    []string // models that it holds
+		Loading string   // a model on its way
+		Closing string   // a model that is being unloaded
+		Busy    bool     // takes no order now
+		Calls   map[string]int
+		InRAM   []string
+		OnDisk  []string
+		Backlog time.Duration
+	}
+
+	// Order asks for one change.
+	Order struct {
+		Engine string
+		Model  string
+		Unload bool
+	}
+
+	// Planner plans for one service; its fields are set before use.
+	Planner struct {
+		Kind *site.EngineKind
+
+		tokens float64
+		filled time.Time
+		since  map[place]time.Time // when a copy was first seen
+	}
+
+	place struct{ engine, model string }
+
+	want struct {
+		model  *site.Model
+		copies int
+		work   float64
+		bare   bool // calls wait and no copy is on its way
+		asked  bool
+	}
+)
+
+// Plan returns at most one order for each engine.
+func (p *Planner) Plan(now time.Time, engines []Engine, needs map[string]desk.ModelNeed) []Order {
+	p.refill(now)
+	p.note(now, engines)
+	wants := p.wants(engines, needs)
+	var out []Order
+	used := make(map[string]bool)
+	for range len(engines) {
+		slices.SortStableFunc(wants, func(a, b *want) int { return cmp.Compare(b.pressure(), a.pressure()) })
+		o, ok := p.next(now, engines, wants, used)
+		if !ok {
+			return out
+		}
+		used[o.Engine] = true
+		out = append(out, o)
+	}
+	return out
+}
+
+// Lost returns the token of a load that was not accepted.
+func (p *Planner) Lost() { p.tokens = min(p.tokens+1, rateBurst) }
+
+func (p *Planner) refill(now time.Time) {
+	if p.filled.IsZero() {
+		p.filled, p.tokens = now, rateBurst
+		p.since = make(map[place]time.Time)
+	}
+	p.tokens = min(p.tokens+now.Sub(p.filled).Seconds()*p.Kind.LoadsPerS*rateShare, rateBurst)
+	p.filled = now
+}
+
+func (p *Planner) note(now time.Time, engines []Engine) {
+	seen := make(map[place]bool)
+	for i := range engines {
+		e := &engines[i]
+		for _, m := range e.Held {
+			at := place{e.ID, m}
+			seen[at] = true
+			if p.since[at].IsZero() {
+				p.since[at] = now
+			}
+		}
+	}
+	for at := range p.since {
+		if !seen[at] {
+			delete(p.since, at)
+		}
+	}
+}
+
+func (p *Planner) wants(engines []Engine, needs map[string]desk.ModelNeed) []*want {
+	out := make([]*want, 0, len(p.Kind.Models))
+	for i := range p.Kind.Models {
+		m := &p.Kind.Models[i]
+		n := needs[m.Name]
+		w := &want{model: m, work: n.Work, asked: n.Asked}
+		for j := range engines {
+			w.copies += engines[j].copies(m.Name)
+		}
+		if w.copies == 0 && n.Waiting > 0 {
+			w.bare = true
+			w.work = max(w.work, waitingWork*float64(n.Waiting))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// copies counts a copy that is there or on its way.
+func (e *Engine) copies(model string) int {
+	if e.Loading == model || slices.Contains(e.Held, model) && e.Closing != model {
+		return 1
+	}
+	return 0
+}
+
+// pressure orders the models by how much they need a further copy.
+func (w *want) pressure() float64 {
+	const bareFirst, reachable, unasked = 1000.0, 100.0, 0.001
+	switch {
+	case w.bare:
+		return bareFirst + w.work
+	case w.copies == 0 && w.asked:
+		return reachable
+	case w.copies == 0:
+		return unasked
+	}
+	return w.work / float64(w.copies)
+}
+
+// next returns the most useful order that is possible now.
+func (p *Planner) next(now time.Time, engines []Engine, wants []*want, used map[string]bool) (Order, bool) {
+	for _, w := range wants {
+		if w.copies > 0 && w.pressure() < fullLoad {
+			continue
+		}
+		if o, ok := p.place(now, engines, wants, used, w); ok {
+			return o, true
+		}
+	}
+	return Order{}, false
+}
+
+// place finds the engine on which a further copy costs least.
+func (p *Planner) place(
+	now time.Time, engines []Engine, wants []*want, used map[string]bool, w *want,
+) (Order, bool) {
+	var best *Engine
+	var victim string
+	var bestCost time.Duration
+	for i := range engines {
+		e := &engines[i]
+		if e.Busy || used[e.ID] || e.Loading != "" || e.Closing != "" || slices.Contains(e.Held, w.model.Name) {
+			continue
+		}
+		cost, stored := e.loadTime(w.model)
+		if stored && p.tokens < 1 {
+			continue
+		}
+		cost += e.Backlog
+		out, ok := p.makeRoom(now, e, wants, w)
+		if !ok {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, victim, bestCost = e, out, cost
+		}
+	}
+	if best == nil {
+		return Order{}, false
+	}
+	if victim != "" {
+		best.Closing = victim
+		of(wants, victim).copies--
+		return Order{Engine: best.ID, Model: victim, Unload: true}, true
+	}
+	if _, stored := best.loadTime(w.model); stored {
+		p.tokens--
+	}
+	best.Loading = w.model.Name
+	w.copies++
+	w.bare = false
+	return Order{Engine: best.ID, Model: w.model.Name}, true
+}
+
+// makeRoom returns the model that makes way for w on the engine, or none when there is room.
+func (p *Planner) makeRoom(now time.Time, e *Engine, wants []*want, w *want) (string, bool) {
+	held := 0.0
+	for _, name := range e.Held {
+		if m := p.Kind.Model(name); m != nil {
+			held += m.MemoryMB
+		}
+	}
+	if held+p.adapterRoom()+w.model.MemoryMB <= p.Kind.MemoryMB {
+		return "", true
+	}
+	best := ""
+	lowest := w.pressure() / clearGain
+	if w.copies == 0 {
+		lowest = w.pressure()
+	}
+	for _, name := range e.Held {
+		v := of(wants, name)
+		if v == nil || v.copies < 2 || e.Calls[name] > 0 && !w.bare {
+			continue
+		}
+		if now.Sub(p.since[place{e.ID, name}]) < settleTime && v.work > 0.01 && !w.bare {
+			continue
+		}
+		if after := v.work / float64(v.copies-1); after < lowest && after < fullLoad || after < lowest/clearGain {
+			best, lowest = name, after
+		}
+	}
+	return best, best != ""
+}
+
+// adapterRoom is the memory that an engine's adapters may take at most.
+func (p *Planner) adapterRoom() float64 {
+	largest := 0.0
+	for i := range p.Kind.Models {
+		if m := &p.Kind.Models[i]; m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(p.Kind.AdapterSlots)
+}
+
+// loadTime returns how long a load takes on the engine, and whether it comes from the weight store.
+func (e *Engine) loadTime(m *site.Model) (time.Duration, bool) {
+	switch {
+	case slices.Contains(e.InRAM, m.Name):
+		return m.FromRAM, false
+	case slices.Contains(e.OnDisk, m.Name):
+		return m.FromDisk, false
+	}
+	return m.Load, true
+}
+
+func of(wants []*want, model string) *want {
+	for _, w := range wants {
+		if w.model.Name == model {
+			return w
+		}
+	}
+	return nil
+}
