Number orders by what engines report

Cause: the number in an engine's entry counts its heartbeats, not the orders it accepted, so every order was refused. Ruled out: a clash of holders.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -122,6 +122,9 @@
 	if !d.Places {
 		return crowded, true
 	}
+	if now.Before(e.noOrders) {
+		return 0, false
+	}
 	kind := d.kind(e.Service)
 	if len(e.adapters) < kind.AdapterSlots {
 		o.loads = true
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -22,8 +22,10 @@
 	slowMax  = 8.0
 	// adapterTime is the expected time of an order for an adapter and of its load.
 	adapterTime = 14 * time.Millisecond
+	// orderPause is how long an engine that rejected an order for an adapter gets no other one.
+	orderPause = 150 * time.Millisecond
 	// reportLag bounds the age of what a report shows.
-	reportLag = time.Second
+	reportLag = 1500 * time.Millisecond
 	// domainCost is the disadvantage of an engine in another failure domain.
 	domainCost = 3 * time.Millisecond
 	// callCost is the slowdown of a call by each call that an engine already has.
@@ -92,12 +94,14 @@
 			d.engines[u.ID] = e
 			e.setModels(now, u.Models, nil)
 		}
-		if u.Sequence > e.Sequence || u.Sequence == e.Sequence && e.Revision < u.Revision {
+		if e.Revision < u.Revision && now.Sub(e.reported) > reportLag {
 			e.setModels(now, u.Models, nil)
 		}
-		sequence := max(u.Sequence, e.Sequence)
+		inRAM, onDisk := e.InRAM, e.OnDisk
 		e.Upstream = *u
-		e.Sequence = sequence
+		if now.Sub(e.reported) <= reportLag {
+			e.InRAM, e.OnDisk = inRAM, onDisk
+		}
 		e.known = true
 	}
 	for id, e := range d.engines {
@@ -111,10 +115,10 @@
 func (d *Desk) SetReport(now time.Time, id string, r *site.Report) {
 	d.init()
 	e := d.engines[id]
-	if e == nil || r.Boot != e.Boot || r.Sequence < e.Sequence {
+	if e == nil || r.Boot != e.Boot || r.Sequence < e.sequence {
 		return
 	}
-	e.Sequence = r.Sequence
+	e.sequence, e.reported = r.Sequence, now
 	e.InRAM, e.OnDisk = r.InRAM, r.OnDisk
 	incoming := make(map[adapterKey]bool, len(r.Incoming))
 	for _, name := range r.Incoming {
@@ -132,7 +136,7 @@
 	if e == nil {
 		return
 	}
-	e.Sequence = max(e.Sequence, sequence)
+	e.sequence = max(e.sequence, sequence)
 	switch k := (adapterKey{o.Model, o.Adapter}); {
 	case o.Adapter != "" && o.Unload:
 		delete(e.adapters, k)
@@ -161,14 +165,18 @@
 }
 
 // AdapterFailed lets another attempt to load an adapter follow.
-func (d *Desk) AdapterFailed(id, model, name string) {
+func (d *Desk) AdapterFailed(now time.Time, id, model, name string) {
 	e := d.engines[id]
 	if e == nil {
 		return
 	}
+	e.noOrders = now.Add(orderPause)
 	if a := e.adapters[adapterKey{model, name}]; a != nil && a.calls == 0 {
 		delete(e.adapters, adapterKey{model, name})
 	}
+	for _, a := range e.adapters {
+		a.leaving = false
+	}
 }
 
 // Ask decides on a call, or keeps it until Step decides.
--- a/internal/desk/engine.go
+++ b/internal/desk/engine.go
@@ -22,6 +22,9 @@
 	failures int
 	slow     float64 // observed time to the first event as a part of the expected one
 	known    bool
+	sequence int64 // orders accepted since the start
+	reported time.Time
+	noOrders time.Time // no adapter is ordered before
 }
 
 func newEngine(u *site.Upstream, kvTokens int) *engine {
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -85,12 +85,11 @@
 		seen[u.ID] = true
 		h := s.helms[u.ID]
 		if h == nil || h.up.Boot != u.Boot {
-			s.helms[u.ID] = &helm{up: *u, sequence: u.Sequence}
+			s.helms[u.ID] = &helm{up: *u}
 			continue
 		}
 		h.mu.Lock()
 		h.up = *u
-		h.sequence = max(h.sequence, u.Sequence)
 		h.mu.Unlock()
 	}
 	for id := range s.helms {
@@ -280,6 +279,13 @@
 }
 
 func (s *steer) adapter(ctx context.Context, h *helm, n desk.AdapterNeed) {
+	h.mu.Lock()
+	known := h.report != nil
+	h.mu.Unlock()
+	if !known {
+		s.adapterFailed(n)
+		return
+	}
 	if n.EvictAdapter != "" {
 		s.send(ctx, h, site.Order{Unload: true, Model: n.EvictModel, Adapter: n.EvictAdapter})
 	}
@@ -290,7 +296,7 @@
 }
 
 func (s *steer) adapterFailed(n desk.AdapterNeed) {
-	s.desk.with(func(_ time.Time, k *desk.Desk) { k.AdapterFailed(n.Engine, n.Model, n.Adapter) })
+	s.desk.with(func(now time.Time, k *desk.Desk) { k.AdapterFailed(now, n.Engine, n.Model, n.Adapter) })
 }
 
 // send sends one order under the number of orders that the engine has accepted, so that a late copy has no effect.
--- a/internal/site/types.go
+++ b/internal/site/types.go
@@ -93,7 +93,6 @@
 		Domain   string // failure domain
 		Leaving  bool
 		Slots    int
-		Sequence int64 // orders accepted since the start
 		Models   []Resident
 		InRAM    []string // models with a copy of their weights in memory
 		OnDisk   []string // models with a copy of their weights on disk
