Order only on a known state, and let silence end only streams that resume

Change: package cargo follows what an engine holds per number of accepted orders; silence ends an attempt only where another one may follow.

--- /dev/null
+++ b/internal/cargo/cargo.go
@@ -0,0 +1,115 @@
+package cargo
+
+import (
+	"strings"
+
+	"github.com/figreel/figreel/internal/site"
+)
+
+type (
+	// Cargo is what an engine holds; the zero value knows nothing.
+	Cargo struct {
+		sequence int64
+		known    bool
+		models   map[string]bool
+		adapters map[adapter]bool
+	}
+
+	adapter struct{ model, name string }
+)
+
+// Sequence returns the number of orders after which the engine holds what is known, and false when that is not known.
+func (c *Cargo) Sequence() (int64, bool) { return c.sequence, c.known }
+
+// Report takes over what the engine reports, and reports false when that is older than what is known.
+func (c *Cargo) Report(r *site.Report) bool {
+	if r.Sequence < c.sequence {
+		return false
+	}
+	models, adapters := held(r)
+	if r.Busy {
+		if !c.known || r.Sequence > c.sequence {
+			// The order that is being carried out is not told, so what will fit is not known.
+			c.sequence, c.known = r.Sequence, false
+			return true
+		}
+		// A model on its way is not listed yet, and one that is being dropped still takes its room.
+		merge(models, c.models)
+	}
+	c.sequence, c.known = r.Sequence, true
+	c.models, c.adapters = models, adapters
+	return true
+}
+
+// Doubt forgets what is held after an order whose effect is not known.
+func (c *Cargo) Doubt() { c.known = false }
+
+// Accepted notes an order that the engine accepted.
+func (c *Cargo) Accepted(o *site.Order) {
+	c.sequence = o.Expected + 1
+	switch {
+	case o.Adapter == "" && !o.Unload:
+		c.models[o.Model] = true
+	case o.Adapter == "":
+		// The room is free once the engine reports it.
+	case o.Unload:
+		delete(c.adapters, adapter{o.Model, o.Adapter})
+	default:
+		c.adapters[adapter{o.Model, o.Adapter}] = true
+	}
+}
+
+// Fits reports whether the engine has room for what the order loads.
+func (c *Cargo) Fits(kind *site.EngineKind, o *site.Order) bool {
+	if !c.known {
+		return false
+	}
+	if o.Unload {
+		return true
+	}
+	used := 0.0
+	for name := range c.models {
+		m := kind.Model(name)
+		if m == nil {
+			return false
+		}
+		used += m.MemoryMB
+	}
+	for a := range c.adapters {
+		if m := kind.Model(a.model); m != nil {
+			used += m.AdapterMB
+		}
+	}
+	m := kind.Model(o.Model)
+	switch {
+	case m == nil:
+		return false
+	case o.Adapter == "":
+		return !c.models[o.Model] && used+m.MemoryMB <= kind.MemoryMB
+	}
+	return c.models[o.Model] && !c.adapters[adapter{o.Model, o.Adapter}] &&
+		len(c.adapters) < kind.AdapterSlots && used+m.AdapterMB <= kind.MemoryMB
+}
+
+func held(r *site.Report) (map[string]bool, map[adapter]bool) {
+	models := make(map[string]bool, len(r.Models))
+	adapters := make(map[adapter]bool)
+	for _, m := range r.Models {
+		models[m.Name] = true
+		for _, a := range m.Adapters {
+			adapters[adapter{m.Name, a}] = true
+		}
+	}
+	for _, name := range r.Incoming {
+		name, _, _ = strings.Cut(name, "@")
+		model, a, _ := strings.Cut(name, "/")
+		adapters[adapter{model, a}] = true
+	}
+	return models, adapters
+}
+
+func merge(to, from map[string]bool) {
+	for k := range from {
+		to[k] = true
+	}
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -98,14 +98,15 @@
 
 // stream relays events until the stream ends; the answer begins with the first event.
 func (c *call) stream(a *h1.Answer, g desk.Grant) (verdict, desk.Outcome) {
+	// Silence ends an attempt only where another engine can go on; otherwise the engine may still finish.
 	silence := max(time.Duration(gapFactor*float64(c.route.GapTarget)), minGap)
+	resumes := c.resumes()
 	var quiet *time.Timer
-	stop := func() {
+	defer func() {
 		if quiet != nil {
 			quiet.Stop()
 		}
-	}
-	defer stop()
+	}()
 	c.mayRun = true
 	var pending []byte
 	buf := make([]byte, streamBuffer)
@@ -115,9 +116,11 @@
 		if end := lastEvent(pending); end > 0 {
 			c.sendEvents(a, g, pending[:end])
 			pending = append(pending[:0], pending[end:]...)
-			if quiet == nil {
+			switch {
+			case !resumes:
+			case quiet == nil:
 				quiet = time.AfterFunc(silence, a.Close)
-			} else {
+			default:
 				quiet.Reset(silence)
 			}
 		}
@@ -132,6 +135,9 @@
 	}
 }
 
+// resumes reports whether another engine may go on with the stream.
+func (c *call) resumes() bool { return c.route.Resumable && c.attempts < c.route.MaxAttempts }
+
 // cut handles a stream that broke: a resumable one goes on at another engine.
 func (c *call) cut() (verdict, desk.Outcome) {
 	how := c.blame()
@@ -139,7 +145,7 @@
 		c.log(0, reasonCallerLeft)
 		return c.abort(), how
 	}
-	if c.ctx.Err() == nil && c.route.Resumable && c.attempts < c.route.MaxAttempts {
+	if c.ctx.Err() == nil && c.resumes() {
 		c.s.Stats.Retry("stream_cut")
 		return again, how
 	}
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/cargo"
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/desk"
 	"github.com/figreel/figreel/internal/seat"
@@ -25,8 +26,6 @@
 	// reportTimeout and orderTimeout bound one call to an engine.
 	reportTimeout = 500 * time.Millisecond
 	orderTimeout  = 700 * time.Millisecond
-	// doubtTime is how long an order without an answer keeps the engine from other orders for models.
-	doubtTime = 2 * time.Second
 )
 
 // steer sends orders to engines while this host holds the seat.
@@ -46,18 +45,18 @@
 
 // helm is the order of events at one engine; its orders go out one after another.
 type helm struct {
-	up       site.Upstream
-	turn     sync.Mutex
-	mu       sync.Mutex
-	sequence int64
-	report   *site.Report
+	up     site.Upstream
+	turn   sync.Mutex
+	mu     sync.Mutex
+	cargo  cargo.Cargo
+	report *site.Report
 	asked    time.Time
 	polling  bool
 	loading  string
 	closing  string
 	began    time.Time
-	doubt    time.Time
 	sending  bool
+	awaits   int // orders without an answer yet; reports from before the answer say nothing new
 }
 
 // run plans until ctx ends.
@@ -106,7 +105,8 @@
 	for _, h := range s.helms {
 		h.mu.Lock()
 		age := reportEvery
-		if h.loading != "" || h.closing != "" || h.report == nil || !h.doubt.IsZero() {
+		_, known := h.cargo.Sequence()
+		if h.loading != "" || h.closing != "" || !known {
 			age = reportSoon
 		}
 		due := !h.polling && now.Sub(h.asked) >= age
@@ -138,15 +138,11 @@
 	if r.Boot == 0 {
 		r.Boot = up.Boot
 	}
-	if r.Boot != up.Boot || r.Sequence < h.sequence {
+	if r.Boot != up.Boot || h.awaits > 0 || !h.cargo.Report(r) {
 		h.mu.Unlock()
 		return
 	}
-	if r.Sequence > h.sequence && !h.doubt.IsZero() {
-		s.log.Info().Str("upstream", up.ID).Int64("sequence", r.Sequence).Msg("order without an answer was accepted")
-		h.doubt = time.Time{}
-	}
-	h.sequence, h.report = r.Sequence, r
+	h.report = r
 	s.settle(h, r)
 	h.mu.Unlock()
 	s.desk.with(func(now time.Time, k *desk.Desk) { k.SetReport(now, up.ID, r) })
@@ -209,9 +205,10 @@
 func (s *steer) engine(now time.Time, h *helm) stock.Engine {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	_, known := h.cargo.Sequence()
 	e := stock.Engine{
 		ID: h.up.ID, Domain: h.up.Domain, Loading: h.loading, Closing: h.closing, Calls: make(map[string]int),
-		Busy: h.report == nil || h.report.Busy || h.report.Sequence != h.sequence || h.sending || now.Before(h.doubt),
+		Busy: !known || h.report.Busy || h.sending,
 	}
 	if h.report != nil {
 		e.InRAM, e.OnDisk = h.report.InRAM, h.report.OnDisk
@@ -279,18 +276,14 @@
 }
 
 func (s *steer) adapter(ctx context.Context, h *helm, n desk.AdapterNeed) {
-	h.mu.Lock()
-	known := h.report != nil
-	h.mu.Unlock()
-	if !known {
-		s.adapterFailed(n)
-		return
-	}
 	if n.EvictAdapter != "" {
-		s.send(ctx, h, site.Order{Unload: true, Model: n.EvictModel, Adapter: n.EvictAdapter})
+		got := s.send(ctx, h, site.Order{Unload: true, Model: n.EvictModel, Adapter: n.EvictAdapter})
+		if got != site.OrderAccepted {
+			s.adapterFailed(n)
+			return
+		}
 	}
-	got := s.send(ctx, h, site.Order{Model: n.Model, Adapter: n.Adapter})
-	if got != site.OrderAccepted && got != site.OrderHolds {
+	if s.send(ctx, h, site.Order{Model: n.Model, Adapter: n.Adapter}) != site.OrderAccepted {
 		s.adapterFailed(n)
 	}
 }
@@ -303,15 +296,24 @@
 func (s *steer) send(ctx context.Context, h *helm, o site.Order) site.OrderResult {
 	h.turn.Lock()
 	defer h.turn.Unlock()
+	kind := s.kind(h)
 	h.mu.Lock()
 	up := h.up
-	o.Expected = h.sequence
+	fits := kind != nil && h.cargo.Fits(kind, &o)
+	o.Expected, _ = h.cargo.Sequence()
 	h.mu.Unlock()
+	if !fits {
+		s.stats.Count("order_does_not_fit")
+		return site.OrderRejected
+	}
 	token, ok := s.seat.Token()
 	if !ok {
 		return site.OrderRejected
 	}
 	o.Holder, o.Token = s.self, token
+	h.mu.Lock()
+	h.awaits++
+	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	start := time.Now()
@@ -319,21 +321,36 @@
 	s.log.Info().Err(err).Str("upstream", up.ID).Bool("unload", o.Unload).Str("model", o.Model).
 		Str("adapter", o.Adapter).Int64("expected", o.Expected).Int64("token", o.Token).Uint8("result", uint8(got)).
 		Dur("took_ms", time.Since(start)).Msg("order")
+	if got == site.OrderHolds && o.Adapter != "" && o.Unload {
+		// Unused adapters are dropped at once.
+		got = site.OrderAccepted
+	}
 	h.mu.Lock()
-	switch got {
-	case site.OrderAccepted:
-		h.sequence = o.Expected + 1
-	case site.OrderUnknown:
-		h.doubt = time.Now().Add(doubtTime)
+	h.awaits--
+	if got == site.OrderAccepted {
+		h.cargo.Accepted(&o)
+	} else {
+		h.cargo.Doubt()
+		h.asked = time.Time{}
 	}
-	h.asked = time.Time{}
 	h.mu.Unlock()
-	if got == site.OrderAccepted || got == site.OrderHolds {
-		s.desk.with(func(now time.Time, k *desk.Desk) { k.Accepted(now, up.ID, &o, h.sequence) })
+	if got == site.OrderAccepted {
+		s.desk.with(func(now time.Time, k *desk.Desk) { k.Accepted(now, up.ID, &o, o.Expected+1) })
 	}
 	return got
 }
 
+// kind describes the engines of the helm's service.
+func (s *steer) kind(h *helm) *site.EngineKind {
+	c := s.view.Config()
+	if c == nil {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return c.Services[h.up.Service].Engine
+}
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
