--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -158,6 +158,11 @@
 		return again
 	}
 	c.mayRun = true
+	if c.begun {
+		// The answer began with another engine's events; this one cannot complete it.
+		c.fail(a.Status, reasonUpstreamErr)
+		return answered
+	}
 	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.MaxAttempts &&
 		c.mayRetry() {
 		c.s.Stats.Retry("upstream_error")
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -34,8 +34,8 @@
 	newsTimeout = 250 * time.Millisecond
 	// stopMargin is kept from the time between the signal to stop and the end.
 	stopMargin = 400 * time.Millisecond
-	// refuseAfter is the part of that time after which new calls are refused.
-	refuseAfter = 0.45
+	// refuseAfter is how long after the signal to stop new calls are taken; most callers have heard by then.
+	refuseAfter = 2800 * time.Millisecond
 	// quietTime without calls lets a stopping host end early.
 	quietTime = 1500 * time.Millisecond
 	// leastStop is the least time for which a stopping host takes calls of callers that have not heard yet.
@@ -298,7 +298,7 @@
 	}
 	now := clock.Boot()
 	h.lastCall.Store(int64(now))
-	return true, now-time.Duration(since) > time.Duration(refuseAfter*float64(h.Settings.Grace))
+	return true, now-time.Duration(since) > min(refuseAfter, h.Settings.Grace/3)
 }
 
 // stop takes the host out of the addresses, serves the calls that still come and ends before the process is killed.
