Let one host of each failure domain watch the store for the others

Ruled out: renewals, a tenth of a read each. Change: each host listens to two watching hosts of different failure domains and watches itself when neither has the store; the configuration is still watched by every host.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,9 +34,9 @@
 	Yield
 	// Yielded tells how long ago the last order was sent.
 	Yielded
-	// NewsOf asks for state that is newer than what the sender knows; News answers.
+	// NewsOf asks for changes of the store that the sender does not know, and may wait for them; News answers.
 	NewsOf
-	// News carries the state of the store as the sender knows it.
+	// News carries the changes.
 	News
 )
 
@@ -57,13 +57,18 @@
 		Nonce    string         `cbor:"9,keyasint,omitempty"`
 		AgoMS    int64          `cbor:"10,keyasint,omitempty"`
 		Lists    []List         `cbor:"11,keyasint,omitempty"`
+		WaitMS   int64          `cbor:"12,keyasint,omitempty"`
+		// Failing tells that the sender has lost the store itself.
+		Failing bool `cbor:"13,keyasint,omitempty"`
 	}
 
-	// List is the part of the store below a prefix, as of a revision; without items, only the revision is told.
+	// List is the part of the store below a prefix, as of a revision: whole, or with Partial set what has changed.
 	List struct {
-		Prefix   string       `cbor:"1,keyasint"`
-		Revision int64        `cbor:"2,keyasint"`
-		Items    []store.Item `cbor:"3,keyasint,omitempty"`
+		Prefix   string        `cbor:"1,keyasint"`
+		Revision int64         `cbor:"2,keyasint"`
+		Items    []store.Item  `cbor:"3,keyasint,omitempty"`
+		Partial  bool          `cbor:"4,keyasint,omitempty"`
+		Events   []store.Event `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Conn is a connection to another host.
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -29,9 +29,6 @@
 	maxAddresses = 64
 	// sweepEvery is the pause between two looks at idle connections.
 	sweepEvery = 500 * time.Millisecond
-	// newsEvery is how often other hosts are asked for news while the store does not answer.
-	newsEvery   = 300 * time.Millisecond
-	newsTimeout = 250 * time.Millisecond
 	// stopMargin is kept from the time between the signal to stop and the end.
 	stopMargin = 400 * time.Millisecond
 	// refuseAfter is how long after the signal to stop new calls are taken; most callers have heard by then.
@@ -58,6 +55,7 @@
 
 	view     *view
 	seat     *seat.Seat
+	relay    *relay
 	dispatch *dispatch
 	steer    *steer
 	entry    *entry.Server
@@ -93,6 +91,7 @@
 	h.view = newView(h.Platform, h.seat, h.Stats, h.Log)
 	h.dispatch = newDispatch(s.Name, h.seat, h.Stats, h.Log)
 	h.view.changed = h.refresh
+	h.relay = &relay{self: self, view: h.view, stats: h.Stats, log: h.Log}
 	h.steer = &steer{
 		self: s.Name, seat: h.seat, view: h.view, desk: h.dispatch, engines: h.Platform.Engines, stats: h.Stats, log: h.Log,
 	}
@@ -110,13 +109,17 @@
 
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	background := []func(context.Context){
-		h.seat.Run, h.dispatch.run, h.dispatch.follow, h.steer.run, h.sweep, h.gossip,
+		h.seat.Run, h.dispatch.run, h.dispatch.follow, h.steer.run, h.sweep, h.relay.run,
 	}
 	for _, f := range background {
 		go f(ctx)
 	}
 	for _, prefix := range h.view.prefixes() {
-		go h.view.run(ctx, prefix)
+		direct := h.relay.direct
+		if prefix == h.Platform.ConfigPrefix {
+			direct = func() bool { return true }
+		}
+		go h.view.run(ctx, prefix, direct)
 	}
 	servers := []func() error{
 		func() error { return link.Listen(ctx, h.Settings.Link, h.serveLink) },
@@ -217,7 +220,8 @@
 			answer = &link.Message{Kind: link.Yielded, AgoMS: ago.Milliseconds()}
 		}
 	case link.NewsOf:
-		answer = &link.Message{Kind: link.News, Lists: h.view.news(m.Lists)}
+		h.relay.serve(c, m)
+		return
 	}
 	if answer == nil {
 		return
@@ -227,39 +231,10 @@
 	}
 }
 
-// gossip asks another host for news while the store does not answer this one.
-func (h *Host) gossip(ctx context.Context) {
-	for turn := 0; clock.Sleep(ctx, newsEvery); turn++ {
-		h.view.expire(time.Now())
-		hosts := slices.DeleteFunc(h.view.Hosts(), func(o site.Host) bool { return o.Name == h.Settings.Name })
-		if len(hosts) == 0 || !h.view.failing() {
-			continue
-		}
-		h.askNews(ctx, hosts[turn%len(hosts)])
-	}
-}
-
-func (h *Host) askNews(ctx context.Context, o site.Host) {
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
-	defer cancel()
-	c, err := link.Dial(ctx, o.Link)
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	m, err := c.Exchange(ctx, &link.Message{Kind: link.NewsOf, Lists: h.view.known()})
-	if err != nil {
-		h.Stats.Count("news_failed")
-		return
-	}
-	for _, l := range m.Lists {
-		h.view.replace(l)
-	}
-}
-
 func (h *Host) sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepEvery) {
 		h.Pool.Sweep(time.Now())
+		h.view.expire(time.Now())
 	}
 }
 
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -45,18 +45,18 @@
 
 // helm is the order of events at one engine; its orders go out one after another.
 type helm struct {
-	up     site.Upstream
-	turn   sync.Mutex
-	mu     sync.Mutex
-	cargo  cargo.Cargo
-	report *site.Report
-	asked    time.Time
-	polling  bool
-	loading  string
-	closing  string
-	began    time.Time
-	sending  bool
-	awaits   int // orders without an answer yet; reports from before the answer say nothing new
+	up      site.Upstream
+	turn    sync.Mutex
+	mu      sync.Mutex
+	cargo   cargo.Cargo
+	report  *site.Report
+	asked   time.Time
+	polling bool
+	loading string
+	closing string
+	began   time.Time
+	sending bool
+	awaits  int // orders without an answer yet; reports from before the answer say nothing new
 }
 
 // run plans until ctx ends.
--- a/internal/native/view.go
+++ b/internal/native/view.go
@@ -27,6 +27,12 @@
 	// retryFirst and retryMost bound the pause after a failed call to the store.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// gatherTime lets changes of upstreams and hosts gather between two calls, which are priced.
+	gatherTime = 200 * time.Millisecond
+	// roleEvery is how often a host looks whether it should watch the store itself.
+	roleEvery = 100 * time.Millisecond
+	// keptRemovals bounds how many ends of keys are told to other hosts one by one.
+	keptRemovals = 500
 	// lapseTime keeps upstreams and hosts whose entries ended while the store had trouble; those that live write them
 	// again within that time.
 	lapseTime = 1700 * time.Millisecond
@@ -47,7 +53,8 @@
 	parts     map[string]*part
 	upstreams map[string]*site.Upstream
 	hosts     map[string]site.Host
-	trouble   time.Time // last failed call to the store
+	trouble   time.Time     // last failed call to the store
+	news      chan struct{} // closed at the next change
 }
 
 // part is the copy of what lies below one prefix.
@@ -55,6 +62,8 @@
 	prefix   string
 	items    map[string]store.Item
 	lapsed   map[string]time.Time // ended entries that are still believed, until then
+	removed  []store.Event        // the newest ends of keys, oldest first
+	complete int64                // revision since when removed is complete
 	revision int64
 	failing  bool
 }
@@ -62,7 +71,7 @@
 func newView(p *Platform, s *seat.Seat, st *stats.Set, log zerolog.Logger) *view {
 	v := &view{
 		platform: p, seat: s, stats: st, log: log, parts: make(map[string]*part),
-		upstreams: make(map[string]*site.Upstream), hosts: make(map[string]site.Host),
+		upstreams: make(map[string]*site.Upstream), hosts: make(map[string]site.Host), news: make(chan struct{}),
 	}
 	for _, prefix := range v.prefixes() {
 		v.parts[prefix] = &part{prefix: prefix, items: make(map[string]store.Item), lapsed: make(map[string]time.Time)}
@@ -74,11 +83,15 @@
 	return []string{v.platform.ConfigPrefix, v.platform.UpstreamPrefix, seat.Prefix}
 }
 
-// run follows one prefix until ctx ends.
-func (v *view) run(ctx context.Context, prefix string) {
+// run follows one prefix until ctx ends; it watches while direct tells so, and otherwise other hosts tell of changes.
+func (v *view) run(ctx context.Context, prefix string, direct func() bool) {
 	pause := retryFirst
 	listed := false
 	for ctx.Err() == nil {
+		if listed && !direct() {
+			clock.Sleep(ctx, roleEvery)
+			continue
+		}
 		var err error
 		if listed {
 			err = v.watch(ctx, prefix)
@@ -122,6 +135,9 @@
 	}
 	v.regained(prefix)
 	v.apply(prefix, events, revision)
+	if len(events) > 0 && prefix != v.platform.ConfigPrefix {
+		clock.Sleep(ctx, gatherTime)
+	}
 	return nil
 }
 
@@ -178,13 +194,17 @@
 	}
 	for key := range p.items {
 		if _, ok := fresh[key]; !ok {
-			v.drop(now, p, key)
+			v.drop(now, p, key, l.Revision)
 		}
 	}
+	if p.revision == 0 {
+		p.complete = l.Revision
+	}
 	for key, it := range fresh {
 		v.put(p, key, it)
 	}
 	p.revision = l.Revision
+	v.tell()
 	v.mu.Unlock()
 	if l.Prefix == seat.Prefix {
 		v.seat.Set(l.Items)
@@ -205,12 +225,13 @@
 			continue
 		}
 		if e.Deleted {
-			v.drop(now, p, e.Key)
+			v.drop(now, p, e.Key, e.Revision)
 			continue
 		}
 		v.put(p, e.Key, e.Item)
 	}
 	p.revision = max(p.revision, revision)
+	v.tell()
 	v.mu.Unlock()
 	if prefix == seat.Prefix {
 		v.seat.Apply(events)
@@ -263,9 +284,20 @@
 	}
 }
 
+// tell wakes those who wait for news.
+func (v *view) tell() {
+	close(v.news)
+	v.news = make(chan struct{})
+}
+
 // drop forgets an item at once, or after lapseTime when the store had trouble.
-func (v *view) drop(now time.Time, p *part, key string) {
+func (v *view) drop(now time.Time, p *part, key string, revision int64) {
 	delete(p.items, key)
+	p.removed = append(p.removed, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
+	if n := len(p.removed) - keptRemovals; n > 0 {
+		p.complete = p.removed[n-1].Revision
+		p.removed = append(p.removed[:0], p.removed[n:]...)
+	}
 	if now.Sub(v.trouble) < troubleTime && p.prefix != v.platform.ConfigPrefix {
 		p.lapsed[key] = now.Add(lapseTime)
 		return
@@ -333,32 +365,58 @@
 	return out
 }
 
-// news returns the parts that are newer than what another host knows; without known, all revisions alone.
-func (v *view) news(known []link.List) []link.List {
+// changes returns what another host does not know, and a channel that is closed at the next change.
+func (v *view) changes(known []link.List) ([]link.List, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := make([]link.List, 0, len(v.parts))
+	var out []link.List
 	for _, k := range known {
 		p := v.parts[k.Prefix]
 		if p == nil || p.revision <= k.Revision {
 			continue
 		}
-		l := link.List{Prefix: p.prefix, Revision: p.revision}
+		l := link.List{Prefix: p.prefix, Revision: p.revision, Partial: k.Revision >= p.complete && k.Revision > 0}
 		for _, it := range p.items {
-			l.Items = append(l.Items, it)
+			switch {
+			case !l.Partial:
+				l.Items = append(l.Items, it)
+			case it.Revision > k.Revision:
+				l.Events = append(l.Events, store.Event{Item: it})
+			}
+		}
+		if l.Partial {
+			for _, e := range p.removed {
+				if _, back := p.items[e.Key]; e.Revision > k.Revision && !back {
+					l.Events = append(l.Events, e)
+				}
+			}
 		}
 		out = append(out, l)
 	}
-	return out
+	return out, v.news
 }
 
-// known returns the revisions of all parts.
+// learn takes over what another host tells.
+func (v *view) learn(lists []link.List) {
+	for _, l := range lists {
+		if l.Partial {
+			v.apply(l.Prefix, l.Events, l.Revision)
+		} else {
+			v.replace(l)
+		}
+	}
+}
+
+// known returns the revisions of the parts that other hosts should tell of; the configuration is among them only while
+// the store does not answer, because every host watches it.
 func (v *view) known() []link.List {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := make([]link.List, 0, len(v.parts))
 	for _, p := range v.parts {
-		out = append(out, link.List{Prefix: p.prefix, Revision: p.revision})
+		if p.prefix != v.platform.ConfigPrefix || p.failing {
+			out = append(out, link.List{Prefix: p.prefix, Revision: p.revision})
+		}
 	}
 	return out
 }
