--- a/internal/cargo/cargo_test.go
+++ b/internal/cargo/cargo_test.go
@@ -10,7 +10,8 @@
 var kind = &site.EngineKind{
 	MemoryMB: 230, AdapterSlots: 2,
 	Models: []site.Model{
-		{Name: "m1", MemoryMB: 100, AdapterMB: 5}, {Name: "m2", MemoryMB: 100, AdapterMB: 5},
+		{Name: "m1", MemoryMB: 100, AdapterMB: 5},
+		{Name: "m2", MemoryMB: 100, AdapterMB: 5},
 		{Name: "m3", MemoryMB: 100},
 	},
 }
--- /dev/null
+++ b/internal/desk/desk_test.go
@@ -0,0 +1,207 @@
+package desk_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/desk"
+	"github.com/figreel/figreel/internal/site"
+)
+
+var start = time.Unix(1000, 0)
+
+// newDesk has n engines that hold model m, and model x without a copy.
+func newDesk(n int) *desk.Desk {
+	d := &desk.Desk{Places: true}
+	d.SetConfig(&site.Config{Services: map[string]site.Service{"llm": {Name: "llm", Engine: &site.EngineKind{
+		Slots: 8, KVTokens: 100_000, AdapterSlots: 2,
+		Models: []site.Model{{Name: "m", Load: 4 * time.Second}, {Name: "x", Load: 4 * time.Second}},
+	}}}})
+	d.SetUpstreams(start, ups(n))
+	return d
+}
+
+func ups(n int) []*site.Upstream {
+	var list []*site.Upstream
+	for i := range n {
+		list = append(list, &site.Upstream{
+			ID: "e" + strconv.Itoa(i), Service: "llm", Addr: "addr" + strconv.Itoa(i), Boot: 1, Slots: 8,
+			Models: []site.Resident{{Name: "m"}},
+		})
+	}
+	return list
+}
+
+func call(id string, prompt int, parts ...uint64) desk.Ask {
+	a := desk.Ask{
+		Call: id, Service: "llm", Left: 5 * time.Second,
+		Demand: site.Demand{Model: "m", PromptTokens: prompt, OutputTokens: 50},
+	}
+	for _, p := range parts {
+		a.Demand.Parts = append(a.Demand.Parts, site.Part{ID: p, Tokens: prompt / len(parts)})
+	}
+	return a
+}
+
+// Guards against a burst of long prompts that crowds one engine while others are idle.
+func TestBurstSpreads(t *testing.T) {
+	d := newDesk(4)
+	on := make(map[string]int)
+	for i := range 16 {
+		got := d.Ask(start, call(strconv.Itoa(i), 9000))
+		if got.Kind != desk.Granted {
+			t.Fatalf("call %d: %+v", i, got)
+		}
+		on[got.Grant.Engine]++
+	}
+	for e, n := range on {
+		if n != 4 {
+			t.Errorf("%s has %d of 16 calls", e, n)
+		}
+	}
+}
+
+// Guards against prompts that are read again although an idle engine keeps their first part.
+func TestKeptPromptsAreFound(t *testing.T) {
+	d := newDesk(4)
+	first := d.Ask(start, call("a", 9000, 1, 2, 3))
+	d.First(start.Add(200*time.Millisecond), first.Grant.Ticket)
+	d.Done(start.Add(300*time.Millisecond), first.Grant.Ticket, desk.Served)
+	for i := range 5 {
+		got := d.Ask(start.Add(time.Second), call(strconv.Itoa(i), 9000, 1, 2, uint64(10+i)))
+		if got.Grant.Engine != first.Grant.Engine {
+			t.Errorf("call %d went to %s, its prompt is kept on %s", i, got.Grant.Engine, first.Grant.Engine)
+		}
+		d.Done(start.Add(time.Second), got.Grant.Ticket, desk.Served)
+	}
+}
+
+// Guards against calls to engines that failed, left, restarted or no longer hold the model.
+func TestEnginesAvoided(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		do   func(d *desk.Desk)
+	}{
+		{"failed", func(d *desk.Desk) {
+			d.Done(start, d.Ask(start, call("a", 100)).Grant.Ticket, desk.Broken)
+		}},
+		{"leaving", func(d *desk.Desk) {
+			list := ups(2)
+			list[0].Leaving = true
+			d.SetUpstreams(start, list)
+		}},
+		{"gone", func(d *desk.Desk) { d.SetUpstreams(start, ups(2)[1:]) }},
+		{"restarted empty", func(d *desk.Desk) {
+			list := ups(2)
+			list[0].Boot, list[0].Models = 2, nil
+			d.SetUpstreams(start, list)
+		}},
+		{"about to unload", func(d *desk.Desk) { d.Close("e0", "m") }},
+		{"unloaded", func(d *desk.Desk) {
+			d.Accepted(start, "e0", &site.Order{Unload: true, Model: "m"}, 1)
+		}},
+		{"reports that it is empty", func(d *desk.Desk) { d.SetReport(start, "e0", &site.Report{Boot: 1, Sequence: 1}) }},
+	} {
+		d := newDesk(2)
+		tt.do(d)
+		for i := range 4 {
+			got := d.Ask(start.Add(time.Millisecond), call(strconv.Itoa(i), 100))
+			if got.Kind != desk.Granted || got.Grant.Engine != "e1" {
+				t.Errorf("%s: %+v", tt.name, got)
+			}
+		}
+	}
+}
+
+// Guards against calls that wait for a model that cannot come in time, or are refused although it can.
+func TestModelWithoutCopy(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		places bool
+		left   time.Duration
+		want   desk.Kind
+	}{
+		{"in time", true, 5 * time.Second, desk.Waiting},
+		{"too late", true, 3 * time.Second, desk.Refused},
+		{"nobody places", false, 5 * time.Second, desk.Refused},
+	} {
+		d := newDesk(2)
+		d.Places = tt.places
+		a := call("a", 100)
+		a.Demand.Model, a.Left = "x", tt.left
+		got := d.Ask(start, a)
+		if got.Kind != tt.want {
+			t.Errorf("%s: %+v", tt.name, got)
+		}
+		if got.Kind == desk.Refused && got.RetryAfter <= 0 {
+			t.Errorf("%s: refused without a time to come back", tt.name)
+		}
+		if n := d.Needs(start)["x"].Waiting; tt.want == desk.Waiting && n != 1 {
+			t.Errorf("%s: %d calls wait", tt.name, n)
+		}
+	}
+}
+
+// Guards against an adapter that is ordered twice, or for which a call in use makes way.
+func TestAdapters(t *testing.T) {
+	d := newDesk(1)
+	ask := func(id, adapter string) desk.Decision {
+		a := call(id, 100)
+		a.Demand.Adapter = adapter
+		return d.Ask(start, a)
+	}
+	load := func(n desk.AdapterNeed) {
+		d.Accepted(start, n.Engine, &site.Order{Model: n.Model, Adapter: n.Adapter}, 1)
+	}
+	if ask("a", "a1").Kind != desk.Waiting || ask("b", "a1").Kind != desk.Waiting {
+		t.Fatal("calls do not wait for their adapter")
+	}
+	needs := d.AdapterNeeds()
+	if len(needs) != 1 || needs[0].EvictAdapter != "" {
+		t.Fatalf("orders %+v", needs)
+	}
+	load(needs[0])
+	soon := start.Add(50 * time.Millisecond)
+	if got := d.Step(soon); len(got) != 2 || got[0].Kind != desk.Granted {
+		t.Fatalf("decisions %+v", got)
+	}
+	ask("c", "a2")
+	load(d.AdapterNeeds()[0])
+	granted := d.Step(soon)
+	if len(granted) != 1 {
+		t.Fatalf("decisions %+v", granted)
+	}
+	if got := ask("d", "a3"); got.Kind != desk.Waiting || len(d.AdapterNeeds()) != 0 {
+		t.Errorf("an adapter in use makes way: %+v", got)
+	}
+	d.Done(soon, granted[0].Grant.Ticket, desk.Served)
+	d.Step(soon)
+	if needs := d.AdapterNeeds(); len(needs) != 1 || needs[0].EvictAdapter != "a2" || needs[0].Adapter != "a3" {
+		t.Errorf("orders %+v", needs)
+	}
+}
+
+// Guards against a desk that loses count when tickets move to another one.
+func TestHold(t *testing.T) {
+	old, d := newDesk(2), newDesk(2)
+	for i := range 6 {
+		a := call(strconv.Itoa(i), 9000)
+		got := old.Ask(start, a)
+		d.Hold(start, desk.Held{Ask: a, Grant: desk.Grant{
+			Ticket: 100 + got.Grant.Ticket, Engine: "e0", Addr: "addr0", Boot: 1,
+		}})
+	}
+	for i := range 3 {
+		if got := d.Ask(start, call("n"+strconv.Itoa(i), 9000)); got.Grant.Engine != "e1" {
+			t.Errorf("call %d goes to the engine with six calls", i)
+		}
+	}
+	if n := d.Calls("e0", "m"); n != 6 {
+		t.Errorf("%d calls are known", n)
+	}
+	d.Done(start, 101, desk.Left)
+	if n := d.Calls("e0", "m"); n != 5 {
+		t.Errorf("%d calls are known after one has ended", n)
+	}
+}
--- a/internal/desk/types.go
+++ b/internal/desk/types.go
@@ -100,12 +100,11 @@
 	adapterKey struct{ model, name string }
 
 	adapter struct {
-		calls    int
-		lastUse  time.Time
-		ready    time.Time
-		pending  bool // ordered, not known to be there
-		leaving  bool // an order to unload it is on its way
-		rejected time.Time
+		calls   int
+		lastUse time.Time
+		ready   time.Time
+		pending bool // ordered, not known to be there
+		leaving bool // an order to unload it is on its way
 	}
 
 	ticket struct {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -96,17 +96,9 @@
 	return desk.Broken
 }
 
-// stream relays events until the stream ends; the answer begins with the first event.
+// stream relays events until the stream ends; the answer begins with the first event. An engine's silence does not end
+// it, because the engine may still finish; a dead engine's connection ends by its own time-outs.
 func (c *call) stream(a *h1.Answer, g desk.Grant) (verdict, desk.Outcome) {
-	// Silence ends an attempt only where another engine can go on; otherwise the engine may still finish.
-	silence := max(time.Duration(gapFactor*float64(c.route.GapTarget)), minGap)
-	resumes := c.resumes()
-	var quiet *time.Timer
-	defer func() {
-		if quiet != nil {
-			quiet.Stop()
-		}
-	}()
 	c.mayRun = true
 	var pending []byte
 	buf := make([]byte, streamBuffer)
@@ -116,13 +108,6 @@
 		if end := lastEvent(pending); end > 0 {
 			c.sendEvents(a, g, pending[:end])
 			pending = append(pending[:0], pending[end:]...)
-			switch {
-			case !resumes:
-			case quiet == nil:
-				quiet = time.AfterFunc(silence, a.Close)
-			default:
-				quiet.Reset(silence)
-			}
 		}
 		switch {
 		case err == nil:
@@ -135,9 +120,6 @@
 	}
 }
 
-// resumes reports whether another engine may go on with the stream.
-func (c *call) resumes() bool { return c.route.Resumable && c.attempts < c.route.MaxAttempts }
-
 // cut handles a stream that broke: a resumable one goes on at another engine.
 func (c *call) cut() (verdict, desk.Outcome) {
 	how := c.blame()
@@ -145,7 +127,7 @@
 		c.log(0, reasonCallerLeft)
 		return c.abort(), how
 	}
-	if c.ctx.Err() == nil && c.resumes() {
+	if c.ctx.Err() == nil && c.route.Resumable && c.attempts < c.route.MaxAttempts {
 		c.s.Stats.Retry("stream_cut")
 		return again, how
 	}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -16,10 +16,6 @@
 	minAttempt = 10 * time.Millisecond
 	// retryAfter is what a refusal tells its caller when nothing better is known.
 	retryAfter = 200 * time.Millisecond
-	// gapFactor times the longest allowed pause is when a silent stream counts as broken.
-	gapFactor = 3.5
-	// minGap is the least silence that breaks a stream.
-	minGap = 1500 * time.Millisecond
 )
 
 // Reasons of refusals and failures, as they stand in logs and counters.
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -93,7 +93,8 @@
 	h.view.changed = h.refresh
 	h.relay = &relay{self: self, view: h.view, stats: h.Stats, log: h.Log}
 	h.steer = &steer{
-		self: s.Name, seat: h.seat, view: h.view, desk: h.dispatch, engines: h.Platform.Engines, stats: h.Stats, log: h.Log,
+		self: s.Name, seat: h.seat, view: h.view, desk: h.dispatch, engines: h.Platform.Engines, stats: h.Stats,
+		log: h.Log,
 	}
 	h.dispatch.needs = func(needs []desk.AdapterNeed) { h.steer.adapters(ctx, needs) }
 	h.entry = &entry.Server{
@@ -125,7 +126,8 @@
 		func() error { return link.Listen(ctx, h.Settings.Link, h.serveLink) },
 		func() error {
 			return h.Platform.Serve(ctx, Questions{
-				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.Directory, Ready: h.ready, Addresses: h.addresses,
+				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.Directory, Ready: h.ready,
+				Addresses: h.addresses,
 			})
 		},
 		func() error { return h.serveCallers(ctx) },
@@ -234,7 +236,6 @@
 func (h *Host) sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepEvery) {
 		h.Pool.Sweep(time.Now())
-		h.view.expire(time.Now())
 	}
 }
 
--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -88,6 +88,7 @@
 	listening := make(map[string]context.CancelFunc)
 	urgent := time.Time{}
 	for turn := 0; clock.Sleep(ctx, roleEvery); turn++ {
+		r.view.expire(time.Now())
 		list, _ := r.sources()
 		wanted := make(map[string]bool, len(list))
 		for _, o := range list {
--- a/internal/native/view.go
+++ b/internal/native/view.go
@@ -24,6 +24,8 @@
 	listTimeout = 1500 * time.Millisecond
 	// watchWait is how long a watch may wait; a longer wait costs fewer calls, and dead connections end it sooner.
 	watchWait = 10 * time.Second
+	// probeWait is the wait of the first watch after a failed call, whose answer shows that the store is back.
+	probeWait = 50 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call to the store.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
@@ -33,11 +35,11 @@
 	roleEvery = 100 * time.Millisecond
 	// keptRemovals bounds how many ends of keys are told to other hosts one by one.
 	keptRemovals = 500
-	// lapseTime keeps upstreams and hosts whose entries ended while the store had trouble; those that live write them
-	// again within that time.
-	lapseTime = 1700 * time.Millisecond
-	// troubleTime is how long after a failed call ended entries are doubted.
-	troubleTime = 5 * time.Second
+	// lapseTime keeps upstreams and hosts whose entries ended while the store was away; those that live write them
+	// again within about two seconds, and a leaving one must get no calls after that.
+	lapseTime = 1500 * time.Millisecond
+	// returnTime is how long after the store has come back ended entries are doubted.
+	returnTime = time.Second
 )
 
 // view is what this host knows from the store.
@@ -53,7 +55,7 @@
 	parts     map[string]*part
 	upstreams map[string]*site.Upstream
 	hosts     map[string]site.Host
-	trouble   time.Time     // last failed call to the store
+	returned  time.Time     // when the store last came back
 	news      chan struct{} // closed at the next change
 }
 
@@ -127,9 +129,12 @@
 
 func (v *view) watch(ctx context.Context, prefix string) error {
 	v.mu.Lock()
-	after := v.parts[prefix].revision
+	after, wait := v.parts[prefix].revision, watchWait
+	if v.parts[prefix].failing {
+		wait = probeWait
+	}
 	v.mu.Unlock()
-	events, revision, err := v.platform.Store.Watch(ctx, prefix, after, watchWait)
+	events, revision, err := v.platform.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return err
 	}
@@ -146,7 +151,6 @@
 	p := v.parts[prefix]
 	first := !p.failing
 	p.failing = true
-	v.trouble = time.Now()
 	v.mu.Unlock()
 	if first {
 		v.log.Warn().Err(err).Str("prefix", prefix).Msg("store lost")
@@ -159,7 +163,7 @@
 	was := p.failing
 	p.failing = false
 	if was {
-		v.trouble = time.Now()
+		v.returned = time.Now()
 	}
 	v.mu.Unlock()
 	if was {
@@ -290,7 +294,7 @@
 	v.news = make(chan struct{})
 }
 
-// drop forgets an item at once, or after lapseTime when the store had trouble.
+// drop forgets an item at once, or after lapseTime when the store has just come back.
 func (v *view) drop(now time.Time, p *part, key string, revision int64) {
 	delete(p.items, key)
 	p.removed = append(p.removed, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
@@ -298,7 +302,7 @@
 		p.complete = p.removed[n-1].Revision
 		p.removed = append(p.removed[:0], p.removed[n:]...)
 	}
-	if now.Sub(v.trouble) < troubleTime && p.prefix != v.platform.ConfigPrefix {
+	if now.Sub(v.returned) < returnTime && p.prefix != v.platform.ConfigPrefix {
 		p.lapsed[key] = now.Add(lapseTime)
 		return
 	}
--- /dev/null
+++ b/internal/native/view_test.go
@@ -0,0 +1,232 @@
+package native
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/seat"
+	"github.com/figreel/figreel/internal/site"
+	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/store/stub"
+)
+
+// testPlatform decodes configurations that are version numbers, and upstreams such as "svc ready".
+func testPlatform(s store.Store) *Platform {
+	return &Platform{
+		Store: s, ConfigPrefix: "conf/", UpstreamPrefix: "up/",
+		Config: func(it store.Item) (*site.Config, error) {
+			v, err := strconv.ParseInt(string(it.Value), 10, 64)
+			return &site.Config{Version: v}, err
+		},
+		Upstream: func(it store.Item) (*site.Upstream, error) {
+			service, state, ok := strings.Cut(string(it.Value), " ")
+			if !ok {
+				return nil, errors.New("not an upstream")
+			}
+			id := strings.TrimPrefix(it.Key, "up/")
+			return &site.Upstream{ID: id, Service: service, Leaving: state == "leaving"}, nil
+		},
+	}
+}
+
+func testView(s store.Store) *view {
+	st := &seat.Seat{Store: s, Log: zerolog.Nop(), Changed: func(bool) {}}
+	v := newView(testPlatform(s), st, &stats.Set{}, zerolog.Nop())
+	v.changed = func() {}
+	return v
+}
+
+// inView runs f beside a view that watches the stand-in in virtual time.
+func inView(t *testing.T, f func(s *stub.Store, v *view)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &stub.Store{}
+		s.Set("conf/main", "5")
+		s.Set("up/e1", "llm ready")
+		s.Set("up/e2", "llm ready")
+		v := testView(s)
+		for _, prefix := range v.prefixes() {
+			go v.run(ctx, prefix, func() bool { return true })
+		}
+		time.Sleep(time.Second)
+		f(s, v)
+		cancel()
+		time.Sleep(15 * time.Second)
+	})
+}
+
+func ids(v *view) string {
+	v.expire(time.Now())
+	var out []string
+	for _, u := range v.Upstreams("llm") {
+		out = append(out, u.ID)
+	}
+	return strings.Join(out, " ")
+}
+
+// Guards against a configuration that goes back, and upstreams that are used after they left or lost too early.
+func TestView(t *testing.T) {
+	down := func(string) error { return store.ErrRefused }
+	for _, tt := range []struct {
+		name    string
+		do      func(s *stub.Store)
+		after   time.Duration
+		version int64
+		ids     string
+	}{
+		{"start", func(*stub.Store) {}, 0, 5, "e1 e2"},
+		{"newer configuration", func(s *stub.Store) { s.Set("conf/main", "7") }, time.Second, 7, "e1 e2"},
+		{"older configuration", func(s *stub.Store) { s.Set("conf/main", "4") }, time.Second, 5, "e1 e2"},
+		{"unreadable configuration", func(s *stub.Store) { s.Set("conf/main", "x") }, time.Second, 5, "e1 e2"},
+		{"leaving", func(s *stub.Store) { s.Set("up/e1", "llm leaving") }, time.Second, 5, "e2"},
+		{"gone", func(s *stub.Store) { s.Delete("up/e1") }, time.Second, 5, "e2"},
+		{"entry of another writer", func(s *stub.Store) { s.Set("up/x", "?") }, time.Second, 5, "e1 e2"},
+		{"entry made unreadable", func(s *stub.Store) { s.Set("up/e1", "?") }, time.Second, 5, "e2"},
+		{"history dropped", func(s *stub.Store) {
+			s.Delete("up/e1")
+			s.Set("conf/main", "9")
+			s.Compact()
+		}, time.Second, 9, "e2"},
+		{"store away", func(s *stub.Store) {
+			s.Do(func() { s.Fault = down })
+		}, 20 * time.Second, 5, "e1 e2"},
+		{"entries lapsed while the store was away", func(s *stub.Store) {
+			s.Do(func() { s.Fault = down })
+			time.Sleep(2 * time.Second)
+			s.Delete("up/e1")
+			s.Delete("up/e2")
+			s.Do(func() { s.Fault = nil })
+		}, time.Second, 5, "e1 e2"},
+		{"lapsed and back", func(s *stub.Store) {
+			s.Do(func() { s.Fault = down })
+			time.Sleep(2 * time.Second)
+			s.Delete("up/e1")
+			s.Delete("up/e2")
+			s.Do(func() { s.Fault = nil })
+			time.Sleep(time.Second)
+			s.Set("up/e1", "llm ready")
+		}, 2 * time.Second, 5, "e1"},
+		{"gone some time after the store came back", func(s *stub.Store) {
+			s.Do(func() { s.Fault = down })
+			time.Sleep(2 * time.Second)
+			s.Do(func() { s.Fault = nil })
+			time.Sleep(3 * time.Second)
+			s.Delete("up/e1")
+		}, 500 * time.Millisecond, 5, "e2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inView(t, func(s *stub.Store, v *view) {
+				tt.do(s)
+				time.Sleep(tt.after)
+				if got := v.Config().Version; got != tt.version {
+					t.Errorf("version %d, want %d", got, tt.version)
+				}
+				if got := ids(v); got != tt.ids {
+					t.Errorf("upstreams %q, want %q", got, tt.ids)
+				}
+			})
+		})
+	}
+}
+
+// Guards against hosts that miss changes when another host tells them instead of the store.
+func TestChanges(t *testing.T) {
+	inView(t, func(s *stub.Store, v *view) {
+		other := testView(&stub.Store{})
+		tell := func() {
+			var known []link.List
+			for _, p := range other.parts {
+				known = append(known, link.List{Prefix: p.prefix, Revision: p.revision})
+			}
+			lists, _ := v.changes(known)
+			other.learn(lists)
+		}
+		tell()
+		if got := ids(other); got != "e1 e2" {
+			t.Fatalf("whole list: %q", got)
+		}
+		s.Delete("up/e1")
+		s.Set("up/e3", "llm ready")
+		time.Sleep(time.Second)
+		tell()
+		if got := ids(other); got != "e2 e3" {
+			t.Errorf("changes: %q", got)
+		}
+		s.Set("up/e1", "llm ready")
+		for range 2 * keptRemovals {
+			s.Set("up/e9", "llm ready")
+			s.Delete("up/e9")
+		}
+		s.Delete("up/e2")
+		time.Sleep(time.Second)
+		tell()
+		if got := ids(other); got != "e1 e3" {
+			t.Errorf("after many changes: %q", got)
+		}
+	})
+}
+
+// Guards against a question for news that is answered late or not at all.
+func TestAwait(t *testing.T) {
+	inView(t, func(s *stub.Store, v *view) {
+		r := &relay{view: v}
+		known := slices.DeleteFunc(v.known(), func(l link.List) bool { return l.Prefix != "up/" })
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			s.Delete("up/e1")
+		}()
+		start := time.Now()
+		lists := r.await(&link.Message{Lists: known, WaitMS: 2000})
+		if took := time.Since(start); len(lists) != 1 || took > 500*time.Millisecond {
+			t.Errorf("%d lists after %v", len(lists), took)
+		}
+		known[0].Revision = lists[0].Revision
+		if lists := r.await(&link.Message{Lists: known, WaitMS: 100}); len(lists) != 0 {
+			t.Errorf("news without a change: %+v", lists)
+		}
+	})
+}
+
+// Guards against a shared budget that grows with the number of hosts or is spent twice.
+func TestRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, hosts := range []int{1, 7, 83} {
+			spent := 0
+			for range hosts {
+				r := &retries{ratio: 0.2, window: 10 * time.Second, slack: 54, hosts: func() int { return hosts }}
+				for range 3 {
+					for r.Spend("s") {
+						spent++
+					}
+					r.Earn("s")
+				}
+			}
+			if spent > 54 {
+				t.Errorf("%d hosts spent %d of 54 at once", hosts, spent)
+			}
+		}
+		r := &retries{ratio: 0.2, window: 10 * time.Second, slack: 54, hosts: func() int { return 7 }}
+		spent := 0
+		for range 1000 {
+			r.Earn("s")
+			if r.Spend("s") {
+				spent++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if most := 200 + 54/7; spent > most || spent < 100 {
+			t.Errorf("%d further attempts for 1000 calls in 10 s, want at most %d", spent, most)
+		}
+	})
+}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -52,6 +52,8 @@
 		Yield func(ctx context.Context, last Term) (time.Duration, error)
 		// Changed is called after the seat was won or lost.
 		Changed func(held bool)
+		// Now is the time that goes on while the machine is suspended; nil is the machine's own.
+		Now func() time.Duration
 
 		wake chan struct{}
 		mu   sync.Mutex
@@ -68,6 +70,7 @@
 		token      int64
 		quiet      time.Duration // boot time before which no order is sent
 		lastOrder  time.Duration
+		started    time.Duration
 	}
 
 	// Term is the record of the last holder.
@@ -80,6 +83,9 @@
 
 // Run registers the host and campaigns until ctx ends.
 func (s *Seat) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.started = s.now()
+	s.mu.Unlock()
 	for ctx.Err() == nil {
 		wait := s.step(ctx)
 		t := time.NewTimer(wait)
@@ -96,7 +102,7 @@
 func (s *Seat) Token() (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Boot()
+	now := s.now()
 	if s.token == 0 || s.leaving || now >= s.until-margin || now < s.quiet {
 		return 0, false
 	}
@@ -130,7 +136,7 @@
 	}
 	held := s.token != 0
 	s.token = 0
-	ago := clock.Boot() - s.lastOrder
+	ago := s.now() - max(s.lastOrder, s.started)
 	s.mu.Unlock()
 	if held {
 		s.Log.Warn().Msg("seat given up for another host")
@@ -205,6 +211,13 @@
 	s.tell(changed)
 }
 
+func (s *Seat) now() time.Duration {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return clock.Boot()
+}
+
 func (s *Seat) tell(changed bool) {
 	if changed {
 		s.Changed(s.Held())
@@ -224,8 +237,12 @@
 	return s.wake
 }
 
-// setOwn notes that the registration was taken away although the lease seems to hold.
+// setOwn notes a registration whose answer was lost, or one that was taken away although the lease seems to hold.
 func (s *Seat) setOwn(it *store.Item) {
+	if it != nil && s.lease != 0 && it.Lease == s.lease {
+		s.registered = true
+		return
+	}
 	if s.registered && (it == nil || it.Lease != s.lease) {
 		s.registered = false
 		s.lease = 0
@@ -238,7 +255,7 @@
 	had := s.token
 	if it == nil {
 		if s.seat != nil || s.free == 0 {
-			s.free = clock.Boot()
+			s.free = s.now()
 		}
 		s.seat, s.token = nil, 0
 		return had != 0
@@ -248,7 +265,8 @@
 		s.token = 0
 		return had != 0
 	}
-	if s.token == it.Revision {
+	if s.token != 0 {
+		// The store may number a write as a whole or each key of it; the first number stays.
 		return false
 	}
 	s.token = it.Revision
@@ -260,7 +278,7 @@
 	s.mu.Lock()
 	leaving, lease, registered, until := s.leaving, s.lease, s.registered, s.until
 	s.mu.Unlock()
-	now := clock.Boot()
+	now := s.now()
 	switch {
 	case leaving:
 		return renewEvery
@@ -281,7 +299,7 @@
 }
 
 func (s *Seat) enter(ctx context.Context) time.Duration {
-	start := clock.Boot()
+	start := s.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	id, err := s.Store.Grant(ctx, leaseTime)
@@ -326,7 +344,7 @@
 }
 
 func (s *Seat) renew(ctx context.Context, lease int64) time.Duration {
-	start := clock.Boot()
+	start := s.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := s.Store.Renew(ctx, lease)
@@ -394,13 +412,13 @@
 		s.Changed(true)
 	}
 	if last.Host != "" && last.Host != s.Self.Name {
-		go s.shorten(last, rev)
+		go s.shorten(last, mine.Nonce)
 	}
 	return 0
 }
 
 // shorten asks the last holder when it sent its last order, so that less time has to pass.
-func (s *Seat) shorten(last Term, token int64) {
+func (s *Seat) shorten(last Term, nonce string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	ago, err := s.Yield(ctx, last)
@@ -410,8 +428,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.token == token {
-		s.quiet = min(s.quiet, clock.Boot()+max(s.TurnTime+margin-ago, 0))
+	if s.token != 0 && s.nonce == nonce {
+		s.quiet = min(s.quiet, s.now()+max(s.TurnTime+margin-ago, 0))
 	}
 }
 
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -91,7 +91,6 @@
 func (p *Planner) refill(now time.Time) {
 	if p.filled.IsZero() {
 		p.filled, p.tokens = now, rateBurst
-		p.since = make(map[place]time.Time)
 	}
 	p.tokens = min(p.tokens+now.Sub(p.filled).Seconds()*p.Kind.LoadsPerS*rateShare, rateBurst)
 	p.filled = now
@@ -99,12 +98,20 @@
 
 func (p *Planner) note(now time.Time, engines []Engine) {
 	seen := make(map[place]bool)
+	first := p.since == nil
+	if first {
+		p.since = make(map[place]time.Time)
+	}
 	for i := range engines {
 		e := &engines[i]
 		for _, m := range e.Held {
 			at := place{e.ID, m}
 			seen[at] = true
-			if p.since[at].IsZero() {
+			switch _, known := p.since[at]; {
+			case known:
+			case first:
+				p.since[at] = now.Add(-settleTime)
+			default:
 				p.since[at] = now
 			}
 		}
--- /dev/null
+++ b/internal/stock/planner_test.go
@@ -0,0 +1,116 @@
+package stock_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/desk"
+	"github.com/figreel/figreel/internal/site"
+	"github.com/figreel/figreel/internal/stock"
+)
+
+func kind() *site.EngineKind {
+	k := &site.EngineKind{MemoryMB: 220, AdapterSlots: 2, LoadsPerS: 1}
+	for _, name := range []string{"hot", "warm", "cold", "rare"} {
+		k.Models = append(k.Models, site.Model{
+			Name: name, MemoryMB: 100, Load: 4 * time.Second, FromDisk: 800 * time.Millisecond,
+			FromRAM: 400 * time.Millisecond,
+		})
+	}
+	return k
+}
+
+// engines returns one engine for each list of models.
+func engines(held ...[]string) []stock.Engine {
+	out := make([]stock.Engine, 0, len(held))
+	for i, h := range held {
+		out = append(out, stock.Engine{ID: string(rune('a' + i)), Held: h, Calls: map[string]int{}})
+	}
+	return out
+}
+
+// Guards against models that stay unreachable, last copies that make way, and loads that chase small differences.
+func TestPlan(t *testing.T) {
+	hot := map[string]desk.ModelNeed{"hot": {Work: 2, Asked: true}, "warm": {Work: 0.05, Asked: true}}
+	for _, tt := range []struct {
+		name    string
+		engines []stock.Engine
+		needs   map[string]desk.ModelNeed
+		change  func([]stock.Engine)
+		want    []stock.Order
+	}{
+		{
+			name: "calls wait for a model without a copy", engines: engines([]string{"hot"}, []string{"hot", "warm"}),
+			needs: map[string]desk.ModelNeed{"cold": {Waiting: 2, Asked: true}, "rare": {}},
+			want:  []stock.Order{{Engine: "a", Model: "cold"}},
+		},
+		{
+			name:    "demand has moved to a model with one copy",
+			engines: engines([]string{"warm", "cold"}, []string{"warm", "rare"}, []string{"warm", "hot"}),
+			needs:   hot,
+			want:    []stock.Order{{Engine: "a", Model: "warm", Unload: true}, {Engine: "b", Model: "warm", Unload: true}},
+		},
+		{
+			name:    "a copy in memory goes first",
+			engines: engines([]string{"warm", "cold"}, []string{"rare"}, []string{"hot"}), needs: hot,
+			change: func(e []stock.Engine) { e[2].Held, e[2].InRAM, e[1].InRAM = nil, nil, []string{"hot"} },
+			want:   []stock.Order{{Engine: "b", Model: "hot"}},
+		},
+		{
+			name: "last copies stay", engines: engines([]string{"warm", "cold"}, []string{"hot", "rare"}), needs: hot,
+		},
+		{
+			name: "a busy engine takes no order", engines: engines([]string{"hot"}, []string{"cold", "rare"}),
+			needs:  map[string]desk.ModelNeed{"warm": {Waiting: 1, Asked: true}},
+			change: func(e []stock.Engine) { e[0].Busy = true },
+		},
+		{
+			name: "a model with running calls stays", engines: engines([]string{"warm", "cold"}, []string{"warm", "rare"}, []string{"hot"}),
+			needs: hot,
+			change: func(e []stock.Engine) {
+				e[0].Calls["warm"], e[1].Calls["warm"] = 1, 1
+				e[2].Busy = true
+			},
+		},
+		{
+			name: "small differences change nothing", engines: engines([]string{"hot", "cold"}, []string{"warm", "rare"}),
+			needs: map[string]desk.ModelNeed{"hot": {Work: 0.1, Asked: true}, "warm": {Work: 0.08, Asked: true}},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.change != nil {
+				tt.change(tt.engines)
+			}
+			p := &stock.Planner{Kind: kind()}
+			got := p.Plan(time.Unix(100, 0), tt.engines, tt.needs)
+			for _, o := range tt.want {
+				if !slices.Contains(got, o) {
+					t.Errorf("orders %+v lack %+v", got, o)
+				}
+			}
+			if tt.want == nil && len(got) > 0 {
+				t.Errorf("orders %+v, want none", got)
+			}
+		})
+	}
+}
+
+// Guards against more loads from the weight store than its rate allows, also when every model is wanted at once.
+func TestLoadRate(t *testing.T) {
+	p := &stock.Planner{Kind: kind()}
+	begun := 0
+	now := time.Unix(100, 0)
+	for range 100 {
+		list := engines(nil, nil, nil, nil, nil, nil, nil, nil)
+		needs := map[string]desk.ModelNeed{}
+		for _, m := range p.Kind.Models {
+			needs[m.Name] = desk.ModelNeed{Work: 5, Waiting: 3, Asked: true}
+		}
+		begun += len(p.Plan(now, list, needs))
+		now = now.Add(50 * time.Millisecond)
+	}
+	if begun > 5+2 || begun < 5 {
+		t.Errorf("%d loads in 5 s at 1 a second", begun)
+	}
+}
--- /dev/null
+++ b/internal/store/stub/store.go
@@ -0,0 +1,248 @@
+package stub
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figreel/figreel/internal/store"
+)
+
+// lookEvery is how often a watch looks for changes and ended leases.
+const lookEvery = 5 * time.Millisecond
+
+// Store is the stand-in; its fields may be changed while it runs, under Do.
+type Store struct {
+	// Fault is asked before each call with its kind; an error refuses the call.
+	Fault func(kind string) error
+	// Lose is asked after each call; true loses the answer, though the call was carried out.
+	Lose func(kind string) bool
+
+	mu       sync.Mutex
+	revision int64
+	items    map[string]store.Item
+	leases   map[int64]*lease
+	events   []store.Event
+	dropped  int64 // revision up to which history is gone
+	calls    map[string]int
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Do runs f while no call is under way.
+func (s *Store) Do(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// Set writes a key without a lease, as another party does.
+func (s *Store) Set(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.put(store.Item{Key: key, Value: []byte(value)})
+}
+
+// Delete removes a key, as another party does.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.remove(key)
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.dropped = nil, s.revision
+}
+
+// Calls returns how often a kind of call was made.
+func (s *Store) Calls(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[kind]
+}
+
+// Value returns what a key holds, or an empty string.
+func (s *Store) Value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	return string(s.items[key].Value)
+}
+
+// List implements store.Store.
+func (s *Store) List(_ context.Context, prefix string) (list []store.Item, revision int64, err error) {
+	err = s.call("list", func() error {
+		for _, it := range s.items {
+			if strings.HasPrefix(it.Key, prefix) {
+				list = append(list, it)
+			}
+		}
+		slices.SortFunc(list, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+		revision = s.revision
+		return nil
+	})
+	return list, revision, err
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(
+	ctx context.Context, prefix string, after int64, wait time.Duration,
+) (list []store.Event, revision int64, err error) {
+	until := time.Now().Add(wait)
+	first := true
+	for {
+		kind := "look"
+		if first {
+			kind, first = "watch", false
+		}
+		err = s.call(kind, func() error {
+			if after < s.dropped {
+				return store.ErrCompacted
+			}
+			for _, e := range s.events {
+				if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+					list = append(list, e)
+				}
+			}
+			revision = s.revision
+			return nil
+		})
+		if err != nil || len(list) > 0 || !time.Now().Before(until) {
+			return list, revision, err
+		}
+		select {
+		case <-time.After(lookEvery):
+		case <-ctx.Done():
+			return nil, 0, store.ErrUnknown
+		}
+	}
+}
+
+// Commit implements store.Store.
+func (s *Store) Commit(_ context.Context, t store.Txn) (revision int64, err error) {
+	err = s.call("commit", func() error {
+		for _, c := range t.If {
+			if s.items[c.Key].Revision != c.Revision {
+				return store.ErrConflict
+			}
+		}
+		for _, it := range t.Puts {
+			if it.Lease != 0 && s.leases[it.Lease] == nil {
+				return store.ErrLeaseGone
+			}
+		}
+		for _, it := range t.Puts {
+			s.put(it)
+		}
+		for _, key := range t.Remove {
+			s.remove(key)
+		}
+		revision = s.revision
+		return nil
+	})
+	return revision, err
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (id int64, err error) {
+	err = s.call("grant", func() error {
+		id = int64(len(s.calls) + s.calls["grant"]*1000)
+		s.leases[id] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+		return nil
+	})
+	return id, err
+}
+
+// Renew implements store.Store.
+func (s *Store) Renew(_ context.Context, id int64) error {
+	return s.call("renew", func() error {
+		l := s.leases[id]
+		if l == nil {
+			return store.ErrLeaseGone
+		}
+		l.end = time.Now().Add(l.ttl)
+		return nil
+	})
+}
+
+// End implements store.Store.
+func (s *Store) End(_ context.Context, id int64) error {
+	return s.call("end", func() error {
+		s.endLease(id)
+		return nil
+	})
+}
+
+// Revoke removes the keys of a lease, which itself seems to go on.
+func (s *Store) Revoke(key string) { s.Delete(key) }
+
+func (s *Store) call(kind string, f func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.calls[kind]++
+	s.lapse()
+	if s.Fault != nil {
+		if err := s.Fault(kind); err != nil {
+			return err
+		}
+	}
+	if err := f(); err != nil {
+		return err
+	}
+	if s.Lose != nil && s.Lose(kind) {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+func (s *Store) init() {
+	if s.items == nil {
+		s.items = make(map[string]store.Item)
+		s.leases = make(map[int64]*lease)
+		s.calls = make(map[string]int)
+	}
+}
+
+func (s *Store) lapse() {
+	for id, l := range s.leases {
+		if !time.Now().Before(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Store) put(it store.Item) {
+	s.revision++
+	it.Revision = s.revision
+	s.items[it.Key] = it
+	s.events = append(s.events, store.Event{Item: it})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.events = append(s.events, store.Event{Item: store.Item{Key: key, Revision: s.revision}, Deleted: true})
+}
