--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -39,6 +39,8 @@
 	// downFirst and downMost bound how long an engine is avoided after failures.
 	downFirst = 150 * time.Millisecond
 	downMost  = 2 * time.Second
+	// absentTime is how long an engine gets no calls for a model after it said that it lacks the model or an adapter of it.
+	absentTime = 400 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2500 * time.Millisecond
 	// outputCost is the engine time of an output token while others share its step.
@@ -286,6 +288,7 @@
 		if k := t.key(); k.name != "" {
 			delete(e.adapters, k)
 		}
+		e.absent[t.ask.Demand.Model] = now.Add(absentTime)
 	case Broken:
 		e.failures++
 		e.down = now.Add(min(downFirst<<min(e.failures-1, 8), downMost))
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -86,6 +86,9 @@
 		{"failed", func(d *desk.Desk) {
 			d.Done(start, d.Ask(start, call("a", 100)).Grant.Ticket, desk.Broken)
 		}},
+		{"said that it lacks the model", func(d *desk.Desk) {
+			d.Done(start, d.Ask(start, call("a", 100)).Grant.Ticket, desk.Absent)
+		}},
 		{"leaving", func(d *desk.Desk) {
 			list := ups(2)
 			list[0].Leaving = true
--- a/internal/desk/engine.go
+++ b/internal/desk/engine.go
@@ -14,6 +14,7 @@
 	models   map[string]bool
 	closed   map[string]bool // models that are being unloaded
 	loading  map[string]time.Time
+	absent   map[string]time.Time // models that the engine said to lack, until then
 	// reading is when all prompts that were sent are expected to have been read.
 	reading  time.Time
 	memory   int // tokens of the calls that are there
@@ -31,7 +32,7 @@
 	return &engine{
 		Upstream: *u, tickets: make(map[uint64]*ticket), cache: newCache(int(cacheShare * float64(kvTokens))),
 		adapters: make(map[adapterKey]*adapter), models: make(map[string]bool), closed: make(map[string]bool),
-		loading: make(map[string]time.Time), kvTotal: kvTokens, slow: 1,
+		loading: make(map[string]time.Time), absent: make(map[string]time.Time), kvTotal: kvTokens, slow: 1,
 	}
 }
 
@@ -72,7 +73,8 @@
 
 // serves reports whether calls for the model may be sent to the engine.
 func (e *engine) serves(now time.Time, model string) bool {
-	return e.known && !e.Leaving && e.models[model] && !e.closed[model] && !now.Before(e.down)
+	return e.known && !e.Leaving && e.models[model] && !e.closed[model] && !now.Before(e.down) &&
+		!now.Before(e.absent[model])
 }
 
 func (e *engine) add(now time.Time, t *ticket) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -150,6 +150,13 @@
 		c.first = true
 		c.s.Tickets.First(g)
 	}
+	now := time.Now()
+	if c.begun {
+		c.longest = max(c.longest, now.Sub(c.eventAt))
+	} else {
+		c.firstIn = now.Sub(c.start)
+	}
+	c.eventAt = now
 	if !c.begun {
 		copyHeader(c.w.Header(), a.Header)
 		c.w.WriteHeader(a.Status)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,8 +58,11 @@
 	mayRun   bool // some attempt may have run
 	begun    bool // the answer's header is sent
 	lastID   string
-	first    bool // the current attempt has sent an event
-	aborted  bool // the caller's connection is to be broken off
+	first    bool          // the current attempt has sent an event
+	firstIn  time.Duration // until the caller's first event
+	eventAt  time.Time
+	longest  time.Duration // pause between events
+	aborted  bool          // the caller's connection is to be broken off
 }
 
 // ServeHTTP takes one call to its answer.
@@ -234,6 +237,9 @@
 	if c.demand.Model != "" {
 		e = e.Str("model", c.demand.Model).Str("adapter", c.demand.Adapter).Int("prompt", c.demand.PromptTokens)
 	}
+	if c.begun {
+		e = e.Dur("first_ms", c.firstIn).Dur("pause_ms", c.longest)
+	}
 	if reason != "" {
 		e = e.Str("reason", reason)
 	}
