Give streams a lull between prompts, a lane for long ones, and count unread prompts as work

Ruled out: slow first events (p50 64 ms). Change: an engine with streams gets no further prompt once it has read for 0.7 of the allowed pause, until it has rested; a prompt that itself takes longer goes to a few kept engines; an engine with prompts that have no first event yet is not taken for idle. The log tells what each grant was based on.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -15,6 +15,7 @@
 	score  time.Duration
 	tokens int // prompt tokens to read
 	loads  bool
+	holds  bool // the engine's streams need a lull first
 	evict  *adapterKey
 }
 
@@ -33,6 +34,8 @@
 		return d.awaitModel(now, a, left)
 	case best == nil:
 		return d.waitOrRefuse(a, left)
+	case best.holds:
+		return Decision{Kind: Waiting, Call: a.Call}
 	case best.first > left:
 		return d.refuse(a, ReasonOverload, best.first-left)
 	case best.loads:
@@ -62,6 +65,7 @@
 
 // best returns the engine with the lowest score, and how many engines hold the model.
 func (d *Desk) best(now time.Time, a *ask) (*option, int) {
+	d.setLanes(now)
 	chain := keys(&a.Demand)
 	var best *option
 	holders := 0
@@ -94,7 +98,8 @@
 		}
 		o.first += delay
 	}
-	o.score = o.first + read/2 + time.Duration(len(e.tickets))*callCost
+	d.spare(now, a, o, read)
+	o.score += o.first + read/2 + time.Duration(len(e.tickets))*callCost
 	if e.Domain != a.Domain {
 		o.score += domainCost
 	}
@@ -109,6 +114,31 @@
 	return o
 }
 
+// spare lets prompts wait, or go elsewhere, that would hold up the streams of an engine for longer than they allow.
+func (d *Desk) spare(now time.Time, a *ask, o *option, read time.Duration) {
+	e := o.engine
+	n, gap := e.streams()
+	long := a.Gap > 0 && read > time.Duration(burstShare*float64(a.Gap))
+	if e.lane && !long {
+		o.score += laneCost
+	}
+	if n == 0 {
+		return
+	}
+	most := time.Duration(burstShare * float64(gap))
+	if e.pause(now, read) <= most {
+		return
+	}
+	if read > most {
+		// A lull before so long a prompt does not help.
+		o.score += time.Duration(n) * lateCost
+	}
+	if !e.rested(now) {
+		o.holds = true
+		o.first += lull
+	}
+}
+
 // adapterDelay returns the time until the engine can hold the call's adapter, and false when it cannot.
 func (d *Desk) adapterDelay(now time.Time, a *ask, e *engine, o *option) (time.Duration, bool) {
 	k := adapterKey{a.Demand.Model, a.Demand.Adapter}
@@ -171,7 +201,10 @@
 	t := d.ticket(now, e, a)
 	e.add(now, t)
 	e.cache.add(keys(&a.Demand), a.Demand.Parts)
-	return Decision{Kind: Granted, Call: a.Call, Grant: Grant{Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot}}
+	streams, _ := e.streams()
+	return Decision{Kind: Granted, Call: a.Call, Grant: Grant{
+		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot, Read: t.tokens, Expected: e.wait(now), Streams: streams,
+	}}
 }
 
 func (d *Desk) ticket(now time.Time, e *engine, a *ask) *ticket {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -34,6 +34,21 @@
 	cacheShare = 0.75
 	// memoryShare is the part of an engine's memory beyond which calls may be preempted.
 	memoryShare = 0.9
+	// burstShare is the part of the longest allowed pause for which an engine may read prompts without a lull.
+	burstShare = 0.7
+	// lull is the time in which running streams make an event when no prompt is being read.
+	lull = 30 * time.Millisecond
+	// overdue is the expected rest of a prompt that takes longer than expected.
+	overdue = 40 * time.Millisecond
+	// lateCost is the disadvantage of an engine for each stream that a long prompt would hold up.
+	lateCost = 100 * time.Millisecond
+	// laneCost is the disadvantage of an engine in the lane for long prompts for all other calls.
+	laneCost = 120 * time.Millisecond
+	// laneShare is the part of a model's engines that is kept for long prompts, where there are at least laneLeast.
+	laneShare = 0.2
+	laneLeast = 3
+	// laneEvery is the pause between two looks at which engines are kept.
+	laneEvery = 500 * time.Millisecond
 	// crowded is the disadvantage of an engine without room for the call.
 	crowded = 2 * time.Second
 	// downFirst and downMost bound how long an engine is avoided after failures.
@@ -65,6 +80,7 @@
 	costs   map[string]time.Duration // reading time of a prompt token by model
 	demand  map[string]*demand
 	needs   []AdapterNeed
+	lanesAt time.Time
 }
 
 type demand struct {
@@ -256,6 +272,7 @@
 	}
 	t.first = true
 	e := t.engine
+	e.unread--
 	e.settle(now)
 	e.failures = 0
 	took := now.Sub(t.granted) - answerOverhead
--- a/internal/desk/engine.go
+++ b/internal/desk/engine.go
@@ -16,11 +16,15 @@
 	loading  map[string]time.Time
 	absent   map[string]time.Time // models that the engine said to lack, until then
 	// reading is when all prompts that were sent are expected to have been read.
-	reading  time.Time
+	reading time.Time
+	// burst is since when prompts have been read without a lull.
+	burst    time.Time
+	unread   int // calls without a first event
 	memory   int // tokens of the calls that are there
 	kvTotal  int
 	down     time.Time // not to be used before
 	failures int
+	lane     bool    // kept for long prompts
 	slow     float64 // observed time to the first event as a part of the expected one
 	known    bool
 	sequence int64 // orders accepted since the start
@@ -69,7 +73,14 @@
 }
 
 // wait is how long the engine will read prompts that were sent before.
-func (e *engine) wait(now time.Time) time.Duration { return max(e.reading.Sub(now), 0) }
+func (e *engine) wait(now time.Time) time.Duration {
+	rest := max(e.reading.Sub(now), 0)
+	if e.unread > 0 {
+		// The engine is slower than expected.
+		rest = max(rest, overdue)
+	}
+	return rest
+}
 
 // serves reports whether calls for the model may be sent to the engine.
 func (e *engine) serves(now time.Time, model string) bool {
@@ -81,7 +92,11 @@
 	e.tickets[t.id] = t
 	e.memory += t.memory
 	if !t.first {
+		if e.rested(now) {
+			e.burst = now
+		}
 		e.reading = now.Add(e.wait(now) + t.prefill)
+		e.unread++
 	}
 	if t.ask.Demand.Adapter != "" {
 		a := e.adapter(now, t.key())
@@ -104,6 +119,7 @@
 	delete(e.tickets, t.id)
 	e.memory -= t.memory
 	if !t.first {
+		e.unread--
 		e.settle(now)
 	}
 	if a := e.adapters[t.key()]; a != nil {
@@ -111,6 +127,31 @@
 	}
 }
 
+// streams returns how many calls get events now, and the shortest pause that one of them allows.
+func (e *engine) streams() (n int, gap time.Duration) {
+	for _, t := range e.tickets {
+		if !t.first || t.ask.Gap <= 0 {
+			continue
+		}
+		n++
+		if gap == 0 || t.ask.Gap < gap {
+			gap = t.ask.Gap
+		}
+	}
+	return n, gap
+}
+
+// pause returns for how long the streams of an engine would get no event if a prompt were read next.
+func (e *engine) pause(now time.Time, read time.Duration) time.Duration {
+	if e.rested(now) {
+		return read
+	}
+	return e.wait(now) + now.Sub(e.burst) + read
+}
+
+// rested reports whether the engine has read no prompt for so long that its streams have got events.
+func (e *engine) rested(now time.Time) bool { return e.unread == 0 && now.After(e.reading.Add(lull)) }
+
 // settle sums the prompts that are still to be read after one was read or went away.
 func (e *engine) settle(now time.Time) {
 	var rest time.Duration
--- a/internal/desk/types.go
+++ b/internal/desk/types.go
@@ -54,6 +54,7 @@
 		Target   time.Duration `cbor:"6,keyasint"` // until the first event
 		Left     time.Duration `cbor:"7,keyasint"` // until the caller's deadline
 		Tried    []string      `cbor:"8,keyasint,omitempty"`
+		Gap      time.Duration `cbor:"9,keyasint,omitempty"` // longest pause between events that is in time
 	}
 
 	// Decision answers an ask.
@@ -72,6 +73,11 @@
 		Engine string `cbor:"2,keyasint"`
 		Addr   string `cbor:"3,keyasint"`
 		Boot   int64  `cbor:"4,keyasint"`
+		// Read, Expected and Streams are what the choice was based on: prompt tokens that the engine has to read, time to
+		// the first event, and calls that get events there.
+		Read     int           `cbor:"5,keyasint,omitempty"`
+		Expected time.Duration `cbor:"6,keyasint,omitempty"`
+		Streams  int           `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Held is a ticket that another desk granted.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,6 +30,7 @@
 			c.refused(got)
 			return
 		}
+		c.granted, c.grantedIn = got.Grant, time.Since(c.start)
 		v, how := c.attemptModel(got.Grant)
 		c.s.Tickets.Done(got.Grant, how)
 		if v == answered {
@@ -53,7 +54,7 @@
 func (c *call) ask() desk.Ask {
 	return desk.Ask{
 		Call: c.id, Service: c.service, Domain: c.s.Domain, Demand: c.demand, Priority: c.route.Priority,
-		Target: c.route.Target, Left: time.Until(c.deadline), Tried: c.tried,
+		Target: c.route.Target, Left: time.Until(c.deadline), Tried: c.tried, Gap: c.route.GapTarget,
 	}
 }
 
@@ -152,7 +153,9 @@
 	}
 	now := time.Now()
 	if c.begun {
-		c.longest = max(c.longest, now.Sub(c.eventAt))
+		if pause := now.Sub(c.eventAt); pause > c.longest {
+			c.longest, c.longestAt = pause, c.eventAt.Sub(c.start)
+		}
 	} else {
 		c.firstIn = now.Sub(c.start)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/desk"
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/site"
 	"github.com/figreel/figreel/internal/stats"
@@ -40,29 +41,32 @@
 
 // call is one attempt of a caller on its way.
 type call struct {
-	s        *Server
-	ctx      context.Context
-	w        http.ResponseWriter
-	r        *http.Request
-	id       string
-	route    *site.Route
-	service  string
-	demand   site.Demand
-	body     []byte
-	header   http.Header
-	start    time.Time
-	deadline time.Time
-	left     time.Duration // the caller's own limit, 0 without one
-	attempts int
-	tried    []string
-	mayRun   bool // some attempt may have run
-	begun    bool // the answer's header is sent
-	lastID   string
-	first    bool          // the current attempt has sent an event
-	firstIn  time.Duration // until the caller's first event
-	eventAt  time.Time
-	longest  time.Duration // pause between events
-	aborted  bool          // the caller's connection is to be broken off
+	s         *Server
+	ctx       context.Context
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	route     *site.Route
+	service   string
+	demand    site.Demand
+	body      []byte
+	header    http.Header
+	start     time.Time
+	deadline  time.Time
+	left      time.Duration // the caller's own limit, 0 without one
+	attempts  int
+	tried     []string
+	mayRun    bool // some attempt may have run
+	begun     bool // the answer's header is sent
+	lastID    string
+	granted   desk.Grant
+	grantedIn time.Duration // until the last grant
+	first     bool          // the current attempt has sent an event
+	firstIn   time.Duration // until the caller's first event
+	eventAt   time.Time
+	longest   time.Duration // pause between events
+	longestAt time.Duration // since the start
+	aborted   bool          // the caller's connection is to be broken off
 }
 
 // ServeHTTP takes one call to its answer.
@@ -237,8 +241,12 @@
 	if c.demand.Model != "" {
 		e = e.Str("model", c.demand.Model).Str("adapter", c.demand.Adapter).Int("prompt", c.demand.PromptTokens)
 	}
+	if c.granted.Engine != "" {
+		e = e.Dur("granted_ms", c.grantedIn).Uint64("ticket", c.granted.Ticket).Int("read", c.granted.Read).
+			Dur("expected_ms", c.granted.Expected).Int("streams", c.granted.Streams)
+	}
 	if c.begun {
-		e = e.Dur("first_ms", c.firstIn).Dur("pause_ms", c.longest)
+		e = e.Dur("first_ms", c.firstIn).Dur("pause_ms", c.longest).Dur("pause_at_ms", c.longestAt)
 	}
 	if reason != "" {
 		e = e.Str("reason", reason)
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -11,9 +11,9 @@
 
 const (
 	// fullLoad is the share of an engine's time that one copy of a model should take at most.
-	fullLoad = 0.22
+	fullLoad = 0.1
 	// clearGain is how many times the load of a copy must exceed that of the copy that makes way for it.
-	clearGain = 2.0
+	clearGain = 1.5
 	// waitingWork is the work that a call without any copy of its model stands for.
 	waitingWork = 0.3
 	// rateShare is the part of the weight store's rate that is used; lost orders may still be carried out later.
