--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -118,7 +118,7 @@
 func (d *Desk) spare(now time.Time, a *ask, o *option, read time.Duration) {
 	e := o.engine
 	n, gap := e.streams()
-	long := a.Gap > 0 && read > time.Duration(burstShare*float64(a.Gap))
+	long := a.Gap > 0 && read > time.Duration(longShare*float64(a.Gap))
 	if e.lane && !long {
 		o.score += laneCost
 	}
@@ -246,6 +246,15 @@
 	return Decision{Kind: Waiting, Call: a.Call}
 }
 
+// order puts the call with the nearest target first, and calls that have missed theirs last.
+func (a *ask) order(now time.Time, b *ask) int {
+	at, bt := a.arrived.Add(a.Target), b.arrived.Add(b.Target)
+	if c := less(now.After(at), now.After(bt)); c != 0 {
+		return c
+	}
+	return at.Compare(bt)
+}
+
 func (d *Desk) refuse(a *ask, reason string, after time.Duration) Decision {
 	return Decision{
 		Kind: Refused, Call: a.Call, Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter),
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -35,7 +35,9 @@
 	// memoryShare is the part of an engine's memory beyond which calls may be preempted.
 	memoryShare = 0.9
 	// burstShare is the part of the longest allowed pause for which an engine may read prompts without a lull.
-	burstShare = 0.7
+	burstShare = 0.3
+	// longShare is the part of that pause beyond which a prompt is long.
+	longShare = 0.6
 	// lull is the time in which running streams make an event when no prompt is being read.
 	lull = 30 * time.Millisecond
 	// overdue is the expected rest of a prompt that takes longer than expected.
@@ -225,6 +227,7 @@
 	if len(d.waiting) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(d.waiting, func(a, b *ask) int { return a.order(now, b) })
 	var out []Decision
 	kept := d.waiting[:0]
 	for _, a := range d.waiting {
