Go on with orders while the store is away for all, and ask seeds for the configuration

Change: the control address carries the messages of hosts, its seeds are asked while the store does not answer; a holder whose witnesses have lost the store too goes on for 20 s; calls wait only while orders are possible or soon will be.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -34,7 +34,7 @@
 		return d.awaitModel(now, a, left)
 	case best == nil:
 		return d.waitOrRefuse(a, left)
-	case best.holds:
+	case best.holds && now.Sub(a.arrived) < time.Duration(holdShare*float64(a.Target)):
 		return Decision{Kind: Waiting, Call: a.Call}
 	case best.first > left:
 		return d.refuse(a, ReasonOverload, best.first-left)
@@ -149,10 +149,10 @@
 		}
 		return delay, true
 	}
-	if !d.Places {
+	if d.PlacesFrom.IsZero() {
 		return crowded, true
 	}
-	if now.Before(e.noOrders) {
+	if now.Before(e.noOrders) || now.Before(d.PlacesFrom) {
 		return 0, false
 	}
 	kind := d.kind(e.Service)
@@ -232,7 +232,13 @@
 			need = min(need, max(m.Load-now.Sub(since), 0))
 		}
 	}
-	if !d.Places || need+answerOverhead > left {
+	coming := need < m.Load
+	since := a.arrived
+	if d.PlacesFrom.After(since) {
+		since = d.PlacesFrom
+		need += max(since.Sub(now), 0)
+	}
+	if d.PlacesFrom.IsZero() || need+answerOverhead > left || !coming && now.Sub(since) > orderTime {
 		return d.refuse(a, ReasonNoModel, need)
 	}
 	return Decision{Kind: Waiting, Call: a.Call}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -42,6 +42,10 @@
 	lull = 30 * time.Millisecond
 	// overdue is the expected rest of a prompt that takes longer than expected.
 	overdue = 40 * time.Millisecond
+	// holdShare is the part of a call's target for which it waits for an engine's streams to rest.
+	holdShare = 1.0
+	// orderTime is how long a call waits for a load of its model to begin.
+	orderTime = 2 * time.Second
 	// lateCost is the disadvantage of an engine for each stream that a long prompt would hold up.
 	lateCost = 100 * time.Millisecond
 	// laneCost is the disadvantage of an engine in the lane for long prompts for all other calls.
@@ -69,8 +73,9 @@
 
 // Desk decides for the engines of all services; the zero value is ready.
 type Desk struct {
-	// Places tells that models and adapters are being placed, so calls may wait for them.
-	Places bool
+	// PlacesFrom is since when, or from when on, models and adapters are placed for this desk, so that calls may wait for
+	// them; the zero time is never.
+	PlacesFrom time.Time
 	// FirstTicket sets the tickets of this desk apart from those of others.
 	FirstTicket uint64
 
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -91,7 +91,8 @@
 	h.view = newView(h.Platform, h.seat, h.Stats, h.Log)
 	h.dispatch = newDispatch(s.Name, h.seat, h.Stats, h.Log)
 	h.view.changed = h.refresh
-	h.relay = &relay{self: self, view: h.view, stats: h.Stats, log: h.Log}
+	h.relay = &relay{self: self, view: h.view, seat: h.seat, seeds: s.Seeds, stats: h.Stats, log: h.Log}
+	h.seat.Vouched = h.relay.vouched
 	h.steer = &steer{
 		self: s.Name, seat: h.seat, view: h.view, desk: h.dispatch, engines: h.Platform.Engines, stats: h.Stats,
 		log: h.Log,
@@ -173,7 +174,6 @@
 
 func (h *Host) seatChanged(held bool) {
 	h.Log.Info().Bool("held", held).Msg("seat changed")
-	h.dispatch.with(func(_ time.Time, k *desk.Desk) { k.Places = held })
 }
 
 // rank orders the live hosts for the seat.
--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/seat"
 	"github.com/figreel/figreel/internal/site"
 	"github.com/figreel/figreel/internal/stats"
 )
@@ -25,6 +27,9 @@
 	answerTime = 400 * time.Millisecond
 	// sourcePause is the pause before a lost source is tried again.
 	sourcePause = 250 * time.Millisecond
+	// witnesses is how many hosts are asked whether the store is away for them too; their answers count for vouchAge.
+	witnesses = 4
+	vouchAge  = time.Second
 	// urgentEvery is how often any host is asked for news while the store does not answer this one.
 	urgentEvery = 300 * time.Millisecond
 )
@@ -34,13 +39,60 @@
 // relay spreads what the store tells: one host of each failure domain watches the store, the others listen to two of
 // these. A host without a source that reaches the store watches itself.
 type relay struct {
-	self  site.Host
-	view  *view
+	self site.Host
+	view *view
+	seat *seat.Seat
+	// seeds are the addresses of hosts to ask before any is known.
+	seeds []string
 	stats *stats.Set
 	log   zerolog.Logger
 
 	mu    sync.Mutex
 	heard map[string]bool // sources that answer and have the store
+	vouch time.Time       // when other hosts last said that the store is away
+}
+
+// failing reports whether this host has lost the store.
+func (r *relay) failing() bool { return r.view.failing() || r.seat.Failing() }
+
+// vouched reports whether other hosts have just said that they have lost the store too.
+func (r *relay) vouched() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.vouch) < vouchAge
+}
+
+// askWitnesses asks some hosts whether they have the store, and notes when none of them has.
+func (r *relay) askWitnesses(ctx context.Context) {
+	hosts := r.others()
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	hosts = hosts[:min(len(hosts), witnesses)]
+	if len(hosts) == 0 {
+		return
+	}
+	asked := time.Now()
+	answers := make(chan bool, len(hosts))
+	for _, o := range hosts {
+		go func() {
+			err := r.askOnce(ctx, o.Link)
+			answers <- errors.Is(err, errSourceFails)
+		}()
+	}
+	lost := 0
+	for range hosts {
+		if <-answers {
+			lost++
+		}
+	}
+	if 2*lost > len(hosts) && lost >= min(2, len(hosts)) {
+		r.mu.Lock()
+		r.vouch = asked
+		r.mu.Unlock()
+	}
+}
+
+func (r *relay) others() []site.Host {
+	return slices.DeleteFunc(r.view.Hosts(), func(o site.Host) bool { return o.Name == r.self.Name })
 }
 
 // direct reports whether this host watches the store itself.
@@ -87,7 +139,8 @@
 	r.heard = make(map[string]bool)
 	listening := make(map[string]context.CancelFunc)
 	urgent := time.Time{}
-	for turn := 0; clock.Sleep(ctx, roleEvery); turn++ {
+	asks := 0
+	for clock.Sleep(ctx, roleEvery) {
 		r.view.expire(time.Now())
 		list, _ := r.sources()
 		wanted := make(map[string]bool, len(list))
@@ -105,9 +158,14 @@
 				delete(listening, addr)
 			}
 		}
-		if r.view.failing() && time.Since(urgent) > urgentEvery {
-			urgent = time.Now()
-			r.askAny(ctx, turn)
+		if !r.failing() || time.Since(urgent) < urgentEvery {
+			continue
+		}
+		urgent = time.Now()
+		asks++
+		go r.askAny(ctx, asks)
+		if r.seat.Held() {
+			go r.askWitnesses(ctx)
 		}
 	}
 }
@@ -174,27 +232,34 @@
 
 // askAny asks one host after the other while this one has lost the store.
 func (r *relay) askAny(ctx context.Context, turn int) {
-	hosts := slices.DeleteFunc(r.view.Hosts(), func(o site.Host) bool { return o.Name == r.self.Name })
-	if len(hosts) == 0 {
+	addrs := slices.DeleteFunc(slices.Clone(r.seeds), func(a string) bool { return a == r.self.Link })
+	for _, o := range r.others() {
+		addrs = append(addrs, o.Link)
+	}
+	if len(addrs) == 0 {
 		return
 	}
-	o := hosts[turn%len(hosts)]
-	go func() {
-		c, err := link.Dial(ctx, o.Link)
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if err := r.exchange(ctx, c, 0); err != nil {
-			r.stats.Count("news_failed")
-		}
-	}()
+	if err := r.askOnce(ctx, addrs[turn%len(addrs)]); err != nil {
+		r.stats.Count("news_failed")
+	}
+}
+
+// askOnce asks a host for what it knows now.
+func (r *relay) askOnce(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	c, err := link.Dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	return r.exchange(ctx, c, 0)
 }
 
 // serve answers the questions of another host until its connection ends.
 func (r *relay) serve(c *link.Conn, m *link.Message) {
 	for m.Kind == link.NewsOf {
-		answer := &link.Message{Kind: link.News, Lists: r.await(m), Failing: r.view.failing()}
+		answer := &link.Message{Kind: link.News, Lists: r.await(m), Failing: r.failing()}
 		if err := c.Send(answer); err != nil {
 			return
 		}
--- a/internal/native/retries.go
+++ b/internal/native/retries.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// slackShare is the part of the free attempts that hosts use together; restarted hosts begin anew.
-	slackShare = 0.5
+	// slackShare is the part of the free attempts that hosts may save up together. Within one window they can use what
+	// they saved, as much again that returns, and as much that they earned before; restarted hosts begin anew.
+	slackShare = 0.25
 	// ratioShare is the part of the allowed ratio that is used, because calls of the window before count less.
 	ratioShare = 0.8
 )
@@ -55,7 +56,7 @@
 }
 
 // most bounds what a quiet host may save up.
-func (r *retries) most() float64 { return max(r.share(), 2) }
+func (r *retries) most() float64 { return max(r.share(), 1) }
 
 // share is this host's part of the free attempts.
 func (r *retries) share() float64 { return r.slack * slackShare / float64(max(r.hosts(), 1)) }
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -64,6 +64,8 @@
 	s.helms = make(map[string]*helm)
 	s.planners = make(map[string]*stock.Planner)
 	for clock.Sleep(ctx, planEvery) {
+		in, able := s.seat.Able()
+		s.desk.with(func(now time.Time, k *desk.Desk) { k.PlacesFrom = placesFrom(now, k.PlacesFrom, in, able) })
 		if !s.seat.Held() {
 			continue
 		}
@@ -351,6 +353,17 @@
 	return c.Services[h.up.Service].Engine
 }
 
+// placesFrom returns from when on orders are sent; a time in the past stays as it is.
+func placesFrom(now, last time.Time, in time.Duration, able bool) time.Time {
+	switch {
+	case !able:
+		return time.Time{}
+	case in == 0 && !last.IsZero() && !last.After(now):
+		return last
+	}
+	return now.Add(in)
+}
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
--- a/internal/native/types.go
+++ b/internal/native/types.go
@@ -13,11 +13,12 @@
 	// Settings are those of one host.
 	Settings struct {
 		Name          string
-		Domain        string // failure domain
-		Front         string // where callers connect
-		ReadyAddr     string // where the platform asks whether the host is ready
-		Directory     string // where callers ask for addresses
-		Link          string // where other hosts connect
+		Domain        string   // failure domain
+		Front         string   // where callers connect
+		ReadyAddr     string   // where the platform asks whether the host is ready
+		Directory     string   // where callers ask for addresses
+		Link          string   // where other hosts connect
+		Seeds         []string // where some other hosts may be reached
 		StoreAddr     string
 		MemoryMB      int
 		DrainTime     time.Duration // after which a leaving upstream gets no calls
--- a/internal/native/view.go
+++ b/internal/native/view.go
@@ -418,7 +418,7 @@
 	defer v.mu.Unlock()
 	out := make([]link.List, 0, len(v.parts))
 	for _, p := range v.parts {
-		if p.prefix != v.platform.ConfigPrefix || p.failing {
+		if p.prefix != v.platform.ConfigPrefix || p.failing || p.revision == 0 {
 			out = append(out, link.List{Prefix: p.prefix, Revision: p.revision})
 		}
 	}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -29,6 +29,8 @@
 	renewEvery = time.Second
 	// margin covers differences in clock rate and an order that is on its way when validity ends.
 	margin = 300 * time.Millisecond
+	// vouchTime bounds how long orders go on while the store is away for all hosts.
+	vouchTime = 20 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
 	// rankDelay times its rank is how long a host leaves a free seat to others; the last holder's machine goes first,
@@ -52,6 +54,9 @@
 		Yield func(ctx context.Context, last Term) (time.Duration, error)
 		// Changed is called after the seat was won or lost.
 		Changed func(held bool)
+		// Vouched reports whether other hosts have just said that the store is away for them too, so that nobody can have
+		// taken the seat; nil never does.
+		Vouched func() bool
 		// Now is the time that goes on while the machine is suspended; nil is the machine's own.
 		Now func() time.Duration
 
@@ -62,6 +67,7 @@
 		until      time.Duration // boot time at which the lease ends
 		registered bool
 		leaving    bool
+		failing    bool // the last call for the lease failed
 		nonce      string
 		seat       *store.Item // the seat as the store last told
 		seatKnown  bool
@@ -100,16 +106,49 @@
 
 // Token returns the fencing token while this host may send orders.
 func (s *Seat) Token() (int64, bool) {
+	vouched := s.Vouched != nil && s.Vouched()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.token == 0 || s.leaving || now >= s.until-margin || now < s.quiet {
+	if !s.able(now, vouched) {
 		return 0, false
 	}
 	s.lastOrder = now
 	return s.token, true
 }
 
+// Able returns in what time this host may send orders, and false when it may not send any.
+func (s *Seat) Able() (time.Duration, bool) {
+	vouched := s.Vouched != nil && s.Vouched()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if !s.holds(now, vouched) {
+		return 0, false
+	}
+	return max(s.quiet-now, 0), true
+}
+
+// able holds while the lease does, and beyond it for vouchTime while the store is away for all.
+func (s *Seat) able(now time.Duration, vouched bool) bool {
+	return now >= s.quiet && s.holds(now, vouched)
+}
+
+// holds is able without regard to the turns of hosts.
+func (s *Seat) holds(now time.Duration, vouched bool) bool {
+	if s.token == 0 || s.leaving {
+		return false
+	}
+	return now < s.until-margin || vouched && now < s.until+vouchTime
+}
+
+// Failing reports whether the last call for the lease failed.
+func (s *Seat) Failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing
+}
+
 // Held reports whether this host holds the seat, also while it may not send orders yet.
 func (s *Seat) Held() bool {
 	s.mu.Lock()
@@ -303,6 +342,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	id, err := s.Store.Grant(ctx, leaseTime)
+	s.mu.Lock()
+	s.failing = err != nil
+	s.mu.Unlock()
 	if err != nil {
 		s.Log.Warn().Err(err).Msg("no lease from the store")
 		return retryDelay
@@ -350,6 +392,7 @@
 	err := s.Store.Renew(ctx, lease)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.failing = err != nil && !errors.Is(err, store.ErrLeaseGone)
 	switch {
 	case s.lease != lease:
 	case err == nil:
