Read changed settings again and serve the counters

Cause: SIGHUP was ignored and the counters had no address. Change: the settings file is read again after SIGHUP or a change of its time; only seeds can change while a host runs, faulty settings are logged and left out.

--- a/cmd/figreel/host.go
+++ b/cmd/figreel/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +24,8 @@
 	logLines = 2000
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
+	// metricsTime bounds one question for counters.
+	metricsTime = 5 * time.Second
 )
 
 func hostCommand() *cli.Command {
@@ -54,12 +58,24 @@
 	log := zerolog.New(out).With().Timestamp().Str("host", settings.Name).Logger()
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
 	pool := platform.NewPool()
 	pool.Dialed = func(string) { counts.Count("connections_opened") }
 	host := &native.Host{
 		Settings: settings, Platform: platform.New(settings, pool, counts.KV), Pool: pool, Stats: counts, Log: log,
-		Stop: stop,
+		Stop: stop, Changes: watchSettings(ctx, file, log),
 	}
+	go serveMetrics(ctx, settings.Metrics, log)
 	return host.Run(ctx)
 }
+
+// serveMetrics serves the counters; without them the host goes on.
+func serveMetrics(ctx context.Context, addr string, log zerolog.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	srv := &http.Server{Addr: addr, Handler: mux, ReadTimeout: metricsTime, WriteTimeout: metricsTime}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Err(err).Str("addr", addr).Msg("counters are not served")
+	}
+}
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -52,6 +52,8 @@
 	Log      zerolog.Logger
 	// Stop begins a planned stop.
 	Stop <-chan os.Signal
+	// Changes brings the settings anew; of these, only the seeds can change while the host runs.
+	Changes <-chan Settings
 
 	view     *view
 	seat     *seat.Seat
@@ -71,10 +73,15 @@
 	failed := make(chan error, 4)
 	h.start(ctx, failed)
 	h.Log.Info().Str("front", h.Settings.Front).Str("link", h.Settings.Link).Msg("host started")
-	select {
-	case err := <-failed:
-		return err
-	case <-h.Stop:
+	for running := true; running; {
+		select {
+		case err := <-failed:
+			return err
+		case s := <-h.Changes:
+			h.relay.setSeeds(s.Seeds)
+		case <-h.Stop:
+			running = false
+		}
 	}
 	h.stop(ctx)
 	h.Log.Info().Int64("in_flight", h.entry.InFlight()).Msg("host stopped")
--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// setSeeds replaces the addresses to ask before any host is known.
+func (r *relay) setSeeds(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeds = seeds
+}
+
 func (r *relay) others() []site.Host {
 	return slices.DeleteFunc(r.view.Hosts(), func(o site.Host) bool { return o.Name == r.self.Name })
 }
@@ -232,7 +239,9 @@
 
 // askAny asks one host after the other while this one has lost the store.
 func (r *relay) askAny(ctx context.Context, turn int) {
+	r.mu.Lock()
 	addrs := slices.DeleteFunc(slices.Clone(r.seeds), func(a string) bool { return a == r.self.Link })
+	r.mu.Unlock()
 	for _, o := range r.others() {
 		addrs = append(addrs, o.Link)
 	}
--- a/internal/native/types.go
+++ b/internal/native/types.go
@@ -20,6 +20,7 @@
 		Link          string   // where other hosts connect
 		Seeds         []string // where some other hosts may be reached
 		StoreAddr     string
+		Metrics       string // where counters are served
 		MemoryMB      int
 		DrainTime     time.Duration // after which a leaving upstream gets no calls
 		Grace         time.Duration // between the signal to stop and the end of the process
