Spend one token for a further attempt, and give an upstream's error when none is left

Change: the error is kept and relayed when no other attempt follows. The new row of TestPlain fails without it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -220,23 +220,26 @@
 		status   int
 		runs     int
 		signed   bool
+		budget   int
 	}{
-		{"answer", site.Once, 1, [2]string{okAnswer, okAnswer}, 200, 1, true},
-		{"rejected by both", site.Once, 1, [2]string{rejected, rejected}, 503, 2, false},
-		{"cut after a call that may run once", site.Once, 1, [2]string{"CUT", "CUT"}, 502, 1, false},
-		{"cut after an idempotent call", site.Idempotent, 2, [2]string{"CUT", "CUT"}, 502, 2, false},
+		{"answer", site.Once, 1, [2]string{okAnswer, okAnswer}, 200, 1, true, 5},
+		{"rejected by both", site.Once, 1, [2]string{rejected, rejected}, 503, 2, false, 5},
+		{"cut after a call that may run once", site.Once, 1, [2]string{"CUT", "CUT"}, 502, 1, false, 5},
+		{"cut after an idempotent call", site.Idempotent, 2, [2]string{"CUT", "CUT"}, 502, 2, false, 5},
 		{"short answer", site.Once, 1, [2]string{
 			"HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1\nContent-Length: 9\n\ndoneCUT",
 			"HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1\nContent-Length: 9\n\ndoneCUT",
-		}, 502, 1, false},
-		{"no answer in the protocol", site.Once, 1, [2]string{"what\n\nCUT", "what\n\nCUT"}, 502, 1, false},
-		{"error of a call that may run once", site.Once, 1, [2]string{failed, failed}, 500, 1, true},
-		{"error of an idempotent call", site.Idempotent, 2, [2]string{failed, failed}, 500, 2, true},
-		{"silence until the time is over", site.Once, 1, [2]string{"HANG", "HANG"}, 504, 1, false},
+		}, 502, 1, false, 5},
+		{"no answer in the protocol", site.Once, 1, [2]string{"what\n\nCUT", "what\n\nCUT"}, 502, 1, false, 5},
+		{"error of a call that may run once", site.Once, 1, [2]string{failed, failed}, 500, 1, true, 5},
+		{"error of an idempotent call", site.Idempotent, 2, [2]string{failed, failed}, 500, 2, true, 5},
+		{"silence until the time is over", site.Once, 1, [2]string{"HANG", "HANG"}, 504, 1, false, 5},
+		{"error of an idempotent call, budget spent", site.Idempotent, 2, [2]string{failed, failed}, 500, 1, true, 0},
+		{"error, and one further attempt left", site.Idempotent, 2, [2]string{failed, failed}, 500, 2, true, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			a, b := newUpstream(t, tt.scripts[0]), newUpstream(t, tt.scripts[1])
-			srv, _ := newServer(t, config(tt.kind, false, tt.attempts), []*upstream{a, b}, nil, 5)
+			srv, _ := newServer(t, config(tt.kind, false, tt.attempts), []*upstream{a, b}, nil, tt.budget)
 			status, _, header, err := send(t, srv.URL, "/p/x", "body")
 			if err != nil || status != tt.status {
 				t.Fatalf("status %d, %v, want %d", status, err, tt.status)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -163,8 +163,8 @@
 		c.fail(a.Status, reasonUpstreamErr)
 		return answered
 	}
-	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.MaxAttempts &&
-		c.mayRetry() {
+	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.MaxAttempts {
+		c.spare, c.spareBody = a, body
 		c.s.Stats.Retry("upstream_error")
 		return again
 	}
@@ -210,6 +210,8 @@
 	case c.gone():
 		c.log(0, reasonCallerLeft)
 		c.abort()
+	case c.spare != nil && !c.begun:
+		c.relay(c.spare.Status, c.spare.Header, c.spareBody)
 	case !c.mayRun:
 		c.refuse(reason, retryAfter)
 	case c.ctx.Err() != nil:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -56,7 +56,9 @@
 	left      time.Duration // the caller's own limit, 0 without one
 	attempts  int
 	tried     []string
-	mayRun    bool // some attempt may have run
+	mayRun    bool       // some attempt may have run
+	spare     *h1.Answer // an error of an upstream, for when no other one can be tried
+	spareBody []byte
 	begun     bool // the answer's header is sent
 	lastID    string
 	granted   desk.Grant
--- a/internal/native/view.go
+++ b/internal/native/view.go
@@ -104,6 +104,9 @@
 			listed, pause = true, retryFirst
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			v.log.Info().Str("prefix", prefix).Msg("history dropped, reading all")
 			listed = false
