--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -29,6 +29,9 @@
 		return got
 	}
 	best, holders := d.best(now, a)
+	if best != nil && best.holds && now.Equal(a.arrived) && best.first+d.ahead(a, holders) > d.patience(left) {
+		return d.refuse(a, ReasonOverload, d.ahead(a, holders))
+	}
 	switch {
 	case best == nil && holders == 0:
 		return d.awaitModel(now, a, left)
@@ -244,9 +247,25 @@
 	return Decision{Kind: Waiting, Call: a.Call}
 }
 
+// ahead estimates how long the engines of a model will read the prompts of calls that wait already.
+func (d *Desk) ahead(a *ask, holders int) time.Duration {
+	var sum time.Duration
+	for _, w := range d.waiting {
+		if w.Demand.Model == a.Demand.Model && w.Service == a.Service {
+			sum += time.Duration(w.Demand.Fresh()) * d.cost(w.Demand.Model)
+		}
+	}
+	return sum / time.Duration(max(holders, 1))
+}
+
+// patience is how long a call may have to wait when it comes, because estimates are short in an overload.
+func (d *Desk) patience(left time.Duration) time.Duration {
+	return time.Duration(patienceShare * float64(left))
+}
+
 // waitOrRefuse keeps a call that some engine holds the model for but no engine can take now.
 func (d *Desk) waitOrRefuse(a *ask, left time.Duration) Decision {
-	if left < a.Left/2 {
+	if a.Left-left > time.Duration(holdShare*float64(a.Target)) || left < a.Left/2 {
 		return d.refuse(a, ReasonOverload, minRetryAfter)
 	}
 	return Decision{Kind: Waiting, Call: a.Call}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -44,6 +44,8 @@
 	overdue = 40 * time.Millisecond
 	// holdShare is the part of a call's target for which it waits for an engine's streams to rest.
 	holdShare = 1.0
+	// patienceShare is the part of a call's time that may pass before its prompt is read.
+	patienceShare = 0.7
 	// orderTime is how long a call waits for a load of its model to begin.
 	orderTime = 2 * time.Second
 	// lateCost is the disadvantage of an engine for each stream that a long prompt would hold up.
@@ -389,11 +391,7 @@
 		d.demand[q.Demand.Model] = m
 	}
 	m.asked = true
-	fresh := q.Demand.PromptTokens
-	if n := len(q.Demand.Parts); n > 0 {
-		fresh = q.Demand.Parts[n-1].Tokens
-	}
-	work := time.Duration(fresh)*d.cost(q.Demand.Model) + time.Duration(q.Demand.OutputTokens)*outputCost
+	work := time.Duration(q.Demand.Fresh())*d.cost(q.Demand.Model) + time.Duration(q.Demand.OutputTokens)*outputCost
 	m.work = m.decayed(now) + work.Seconds()/demandTime.Seconds()
 	m.at = now
 }
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -210,3 +210,28 @@
 		t.Errorf("%d calls are known after one has ended", n)
 	}
 }
+
+// Guards against calls that wait until it is too late in an overload, instead of being told at once to come back.
+func TestOverloadIsToldAtOnce(t *testing.T) {
+	d := newDesk(1)
+	a := call("s", 100)
+	a.Gap, a.Target = 500*time.Millisecond, time.Second
+	d.First(start, d.Ask(start, a).Grant.Ticket)
+	waiting, refused := 0, 0
+	for i := range 60 {
+		a := call(strconv.Itoa(i), 6000)
+		a.Gap, a.Target, a.Left = 500*time.Millisecond, time.Second, 4*time.Second
+		switch got := d.Ask(start, a); got.Kind {
+		case desk.Waiting:
+			waiting++
+		case desk.Refused:
+			refused++
+			if got.RetryAfter < 500*time.Millisecond {
+				t.Errorf("call %d is told to come back in %v", i, got.RetryAfter)
+			}
+		}
+	}
+	if waiting < 10 || refused < 30 {
+		t.Errorf("%d calls wait, %d are refused at once", waiting, refused)
+	}
+}
--- a/internal/site/demand.go
+++ b/internal/site/demand.go
@@ -57,3 +57,11 @@
 	// OrderRejected means that the engine will not carry out the order.
 	OrderRejected
 )
+
+// Fresh returns the tokens of the prompt's last part, which other calls do not share.
+func (d *Demand) Fresh() int {
+	if n := len(d.Parts); n > 0 {
+		return d.Parts[n-1].Tokens
+	}
+	return d.PromptTokens
+}
