--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -62,7 +62,7 @@
 	// downFirst and downMost bound how long an engine is avoided after failures.
 	downFirst = 150 * time.Millisecond
 	downMost  = 2 * time.Second
-	// absentTime is how long an engine gets no calls for a model after it said that it lacks the model or an adapter of it.
+	// absentTime is how long an engine gets no calls for a model after it said that it lacks the model or an adapter.
 	absentTime = 400 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2500 * time.Millisecond
@@ -75,8 +75,8 @@
 
 // Desk decides for the engines of all services; the zero value is ready.
 type Desk struct {
-	// PlacesFrom is since when, or from when on, models and adapters are placed for this desk, so that calls may wait for
-	// them; the zero time is never.
+	// PlacesFrom is since when, or from when on, models and adapters are placed for this desk, so that calls may wait
+	// for them; the zero time is never.
 	PlacesFrom time.Time
 	// FirstTicket sets the tickets of this desk apart from those of others.
 	FirstTicket uint64
--- a/internal/desk/types.go
+++ b/internal/desk/types.go
@@ -73,8 +73,8 @@
 		Engine string `cbor:"2,keyasint"`
 		Addr   string `cbor:"3,keyasint"`
 		Boot   int64  `cbor:"4,keyasint"`
-		// Read, Expected and Streams are what the choice was based on: prompt tokens that the engine has to read, time to
-		// the first event, and calls that get events there.
+		// Read, Expected and Streams are what the choice was based on: prompt tokens that the engine has to read, time
+		// until it has read them, and calls that get events there.
 		Read     int           `cbor:"5,keyasint,omitempty"`
 		Expected time.Duration `cbor:"6,keyasint,omitempty"`
 		Streams  int           `cbor:"7,keyasint,omitempty"`
--- a/internal/native/view_test.go
+++ b/internal/native/view_test.go
@@ -208,7 +208,9 @@
 			hosts := tt.hosts
 			list := make([]*retries, hosts)
 			for i := range list {
-				list[i] = &retries{ratio: 0.2, window: 10 * time.Second, slack: tt.slack, hosts: func() int { return hosts }}
+				list[i] = &retries{
+					ratio: 0.2, window: 10 * time.Second, slack: tt.slack, hosts: func() int { return hosts },
+				}
 				for range 50 {
 					list[i].Earn("s")
 				}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -54,8 +54,8 @@
 		Yield func(ctx context.Context, last Term) (time.Duration, error)
 		// Changed is called after the seat was won or lost.
 		Changed func(held bool)
-		// Vouched reports whether other hosts have just said that the store is away for them too, so that nobody can have
-		// taken the seat; nil never does.
+		// Vouched reports whether other hosts have just said that the store is away for them too, so that nobody can
+		// have taken the seat; nil never does.
 		Vouched func() bool
 		// Now is the time that goes on while the machine is suspended; nil is the machine's own.
 		Now func() time.Duration
