--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -192,7 +192,6 @@
 	}
 	return &h1.Request{
 		Addr: addr, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, ID: c.id,
-		Fresh: false,
 	}
 }
 
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -37,15 +37,14 @@
 type (
 	// Names are the headers that callers and upstreams use.
 	Names struct {
-		ID          string
-		Deadline    string // milliseconds that the caller waits
-		Instance    string // id of the upstream that must answer
-		NotRun      string // marks an answer to a request that did not run
-		LastEvent   string
-		Priority    string
-		RetryAfter  string
-		OwnOnly     []string // headers that only hosts set
-		EventStream string   // content type of streams
+		ID         string
+		Deadline   string // milliseconds that the caller waits
+		Instance   string // id of the upstream that must answer
+		NotRun     string // marks an answer to a request that did not run
+		LastEvent  string
+		Priority   string
+		RetryAfter string
+		OwnOnly    []string // headers that only hosts set
 	}
 
 	// Tickets decides which engine serves a call.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -64,8 +64,6 @@
 		Header http.Header
 		Body   []byte
 		ID     string
-		// Fresh forbids idle connections.
-		Fresh bool
 	}
 
 	conn struct {
@@ -117,17 +115,6 @@
 	return a, nil
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.abort()
-	}
-}
-
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*conn
@@ -154,7 +141,7 @@
 }
 
 func (p *Pool) take(ctx context.Context, r *Request) (*conn, error) {
-	for !r.Fresh {
+	for {
 		c := p.pop(r.Addr)
 		if c == nil {
 			break
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -198,7 +198,7 @@
 		p.Kind = kind
 		slices.SortFunc(list, func(a, b stock.Engine) int { return compare(a.ID, b.ID) })
 		for _, o := range p.Plan(now, list, needs) {
-			go s.carryOut(ctx, p, o)
+			go s.carryOut(ctx, o)
 		}
 	}
 }
@@ -228,7 +228,7 @@
 }
 
 // carryOut sends an order for a model.
-func (s *steer) carryOut(ctx context.Context, p *stock.Planner, o stock.Order) {
+func (s *steer) carryOut(ctx context.Context, o stock.Order) {
 	s.mu.Lock()
 	h := s.helms[o.Engine]
 	s.mu.Unlock()
--- a/internal/native/types.go
+++ b/internal/native/types.go
@@ -12,25 +12,21 @@
 type (
 	// Settings are those of one host.
 	Settings struct {
-		Name          string
-		Domain        string   // failure domain
-		Front         string   // where callers connect
-		ReadyAddr     string   // where the platform asks whether the host is ready
-		Directory     string   // where callers ask for addresses
-		Link          string   // where other hosts connect
-		Seeds         []string // where some other hosts may be reached
-		StoreAddr     string
-		Metrics       string // where counters are served
-		MemoryMB      int
-		DrainTime     time.Duration // after which a leaving upstream gets no calls
-		Grace         time.Duration // between the signal to stop and the end of the process
-		RetryRatio    float64       // further attempts as a part of the calls
-		RetryWindow   time.Duration
-		RetrySlack    float64       // further attempts that are free within the window
-		TurnTime      time.Duration // between orders of different hosts
-		CeilingWindow time.Duration // over which loads from the weight store are counted
-		AddressTTL    time.Duration // for which callers may keep addresses at most
-		MinLease      time.Duration
+		Name        string
+		Domain      string   // failure domain
+		Front       string   // where callers connect
+		ReadyAddr   string   // where the platform asks whether the host is ready
+		Directory   string   // where callers ask for addresses
+		Link        string   // where other hosts connect
+		Seeds       []string // where some other hosts may be reached
+		StoreAddr   string
+		Metrics     string        // where counters are served
+		Grace       time.Duration // between the signal to stop and the end of the process
+		RetryRatio  float64       // further attempts as a part of the calls
+		RetryWindow time.Duration
+		RetrySlack  float64       // further attempts that are free within the window
+		TurnTime    time.Duration // between orders of different hosts
+		AddressTTL  time.Duration // for which callers may keep addresses at most
 	}
 
 	// Platform translates what the platform says; all fields are set before use.
--- a/internal/site/types.go
+++ b/internal/site/types.go
@@ -49,10 +49,8 @@
 
 	// Service is a set of upstreams with one purpose; Engine is nil for a plain service.
 	Service struct {
-		Name       string
-		HealthPath string
-		MaxConns   int
-		Engine     *EngineKind
+		Name   string
+		Engine *EngineKind
 	}
 
 	// EngineKind describes the model engines of a service.
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -85,9 +85,6 @@
 	return out
 }
 
-// Lost returns the token of a load that was not accepted.
-func (p *Planner) Lost() { p.tokens = min(p.tokens+1, rateBurst) }
-
 func (p *Planner) refill(now time.Time) {
 	if p.filled.IsZero() {
 		p.filled, p.tokens = now, rateBurst
