Decode adapter names once, and read a prompt's keys once per call

The keys of a prompt were hashed again on every look at a waiting call, and the time to read a prompt was worked out in two places; both stand once. A home-made string comparison, an unread field and two stale comments are gone. Behaviour is the same.

--- a/internal/cargo/cargo.go
+++ b/internal/cargo/cargo.go
@@ -1,8 +1,6 @@
 package cargo
 
 import (
-	"strings"
-
 	"github.com/figreel/figreel/internal/site"
 )
 
@@ -12,10 +10,8 @@
 		sequence int64
 		known    bool
 		models   map[string]bool
-		adapters map[adapter]bool
+		adapters map[site.Adapter]bool
 	}
-
-	adapter struct{ model, name string }
 )
 
 // Sequence returns the number of orders after which the engine holds what is known, and false when that is not known.
@@ -53,9 +49,9 @@
 	case o.Adapter == "":
 		// The room is free once the engine reports it.
 	case o.Unload:
-		delete(c.adapters, adapter{o.Model, o.Adapter})
+		delete(c.adapters, site.Adapter{Model: o.Model, Name: o.Adapter})
 	default:
-		c.adapters[adapter{o.Model, o.Adapter}] = true
+		c.adapters[site.Adapter{Model: o.Model, Name: o.Adapter}] = true
 	}
 }
 
@@ -76,7 +72,7 @@
 		used += m.MemoryMB
 	}
 	for a := range c.adapters {
-		if m := kind.Model(a.model); m != nil {
+		if m := kind.Model(a.Model); m != nil {
 			used += m.AdapterMB
 		}
 	}
@@ -87,23 +83,21 @@
 	case o.Adapter == "":
 		return !c.models[o.Model] && used+m.MemoryMB <= kind.MemoryMB
 	}
-	return c.models[o.Model] && !c.adapters[adapter{o.Model, o.Adapter}] &&
+	return c.models[o.Model] && !c.adapters[site.Adapter{Model: o.Model, Name: o.Adapter}] &&
 		len(c.adapters) < kind.AdapterSlots && used+m.AdapterMB <= kind.MemoryMB
 }
 
-func held(r *site.Report) (map[string]bool, map[adapter]bool) {
+func held(r *site.Report) (map[string]bool, map[site.Adapter]bool) {
 	models := make(map[string]bool, len(r.Models))
-	adapters := make(map[adapter]bool)
+	adapters := make(map[site.Adapter]bool)
 	for _, m := range r.Models {
 		models[m.Name] = true
 		for _, a := range m.Adapters {
-			adapters[adapter{m.Name, a}] = true
+			adapters[site.Adapter{Model: m.Name, Name: a}] = true
 		}
 	}
-	for _, name := range r.Incoming {
-		name, _, _ = strings.Cut(name, "@")
-		model, a, _ := strings.Cut(name, "/")
-		adapters[adapter{model, a}] = true
+	for _, a := range r.Incoming {
+		adapters[a] = true
 	}
 	return models, adapters
 }
--- a/internal/cargo/cargo_test.go
+++ b/internal/cargo/cargo_test.go
@@ -43,7 +43,7 @@
 		}, site.Order{Model: "m2", Adapter: "a3"}, true},
 		{"incoming adapter counts", func(c *cargo.Cargo) {
 			c.Report(&site.Report{
-				Models: []site.Resident{{Name: "m1", Adapters: []string{"a1"}}}, Incoming: []string{"m1/a7@1"},
+				Models: []site.Resident{{Name: "m1", Adapters: []string{"a1"}}}, Incoming: []site.Adapter{{Model: "m1", Name: "a7"}},
 			})
 		}, site.Order{Model: "m1", Adapter: "a3"}, false},
 		{"model on its way counts while busy", func(c *cargo.Cargo) {
--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -16,7 +16,7 @@
 	tokens int // prompt tokens to read
 	loads  bool
 	holds  bool // the engine's streams need a lull first
-	evict  *adapterKey
+	evict  *site.Adapter
 }
 
 // decide grants a call, keeps it waiting or refuses it.
@@ -29,8 +29,10 @@
 		return got
 	}
 	best, holders := d.best(now, a)
-	if best != nil && best.holds && now.Equal(a.arrived) && best.first+d.ahead(a, holders) > d.patience(left) {
-		return d.refuse(a, ReasonOverload, d.ahead(a, holders))
+	if best != nil && best.holds && now.Equal(a.arrived) {
+		if ahead := d.ahead(a, holders); best.first+ahead > time.Duration(patienceShare*float64(left)) {
+			return d.refuse(a, ReasonOverload, ahead)
+		}
 	}
 	switch {
 	case best == nil && holders == 0:
@@ -55,7 +57,7 @@
 		a.engine = ""
 		return Decision{}, false
 	}
-	ad := e.adapters[adapterKey{a.Demand.Model, a.Demand.Adapter}]
+	ad := e.adapters[a.key()]
 	if ad == nil || ad.leaving {
 		a.engine = ""
 		return Decision{}, false
@@ -69,7 +71,6 @@
 // best returns the engine with the lowest score, and how many engines hold the model.
 func (d *Desk) best(now time.Time, a *ask) (*option, int) {
 	d.setLanes(now)
-	chain := keys(&a.Demand)
 	var best *option
 	holders := 0
 	for _, e := range d.engines {
@@ -77,7 +78,7 @@
 			continue
 		}
 		holders++
-		o := d.option(now, a, e, chain)
+		o := d.option(now, a, e)
 		if o == nil {
 			continue
 		}
@@ -89,10 +90,10 @@
 }
 
 // option estimates what the call takes on an engine, or returns nil when the engine cannot take it now.
-func (d *Desk) option(now time.Time, a *ask, e *engine, chain []uint64) *option {
+func (d *Desk) option(now time.Time, a *ask, e *engine) *option {
 	o := &option{engine: e}
-	o.tokens = a.Demand.PromptTokens - e.cache.known(chain, a.Demand.Parts)
-	read := time.Duration(float64(o.tokens) * float64(d.cost(a.Demand.Model)) * e.slow)
+	var read time.Duration
+	o.tokens, read = d.reading(a, e)
 	o.first = e.wait(now) + read + answerOverhead
 	if a.Demand.Adapter != "" {
 		delay, ok := d.adapterDelay(now, a, e, o)
@@ -144,7 +145,7 @@
 
 // adapterDelay returns the time until the engine can hold the call's adapter, and false when it cannot.
 func (d *Desk) adapterDelay(now time.Time, a *ask, e *engine, o *option) (time.Duration, bool) {
-	k := adapterKey{a.Demand.Model, a.Demand.Adapter}
+	k := a.key()
 	if ad := e.adapters[k]; ad != nil && !ad.leaving {
 		delay := max(ad.ready.Sub(now), 0)
 		if ad.pending {
@@ -183,11 +184,11 @@
 	e := o.engine
 	need := AdapterNeed{Engine: e.ID, Model: a.Demand.Model, Adapter: a.Demand.Adapter}
 	if o.evict != nil {
-		need.EvictModel, need.EvictAdapter = o.evict.model, o.evict.name
+		need.EvictModel, need.EvictAdapter = o.evict.Model, o.evict.Name
 		e.adapters[*o.evict].leaving = true
 	}
 	d.needs = append(d.needs, need)
-	ad := e.adapter(now, adapterKey{a.Demand.Model, a.Demand.Adapter})
+	ad := e.adapter(now, a.key())
 	ad.pending, ad.ready = true, now.Add(adapterTime)
 	a.engine = e.ID
 }
@@ -195,7 +196,7 @@
 func (d *Desk) grant(now time.Time, a *ask, o *option) Decision {
 	e := o.engine
 	if a.Demand.Adapter != "" {
-		ad := e.adapters[adapterKey{a.Demand.Model, a.Demand.Adapter}]
+		ad := e.adapters[a.key()]
 		if ad != nil && (ad.pending || now.Before(ad.ready)) {
 			a.engine = e.ID
 			return Decision{Kind: Waiting, Call: a.Call}
@@ -203,7 +204,7 @@
 	}
 	t := d.ticket(now, e, a)
 	e.add(now, t)
-	e.cache.add(keys(&a.Demand), a.Demand.Parts)
+	e.cache.add(a.chain, a.Demand.Parts)
 	streams, _ := e.streams()
 	return Decision{Kind: Granted, Call: a.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot, Read: t.tokens, Expected: e.wait(now), Streams: streams,
@@ -212,17 +213,21 @@
 
 func (d *Desk) ticket(now time.Time, e *engine, a *ask) *ticket {
 	d.next++
-	chain := keys(&a.Demand)
-	tokens := a.Demand.PromptTokens - e.cache.known(chain, a.Demand.Parts)
+	tokens, read := d.reading(a, e)
 	t := &ticket{
 		id: d.next, ask: a.Ask, engine: e, granted: now, tokens: tokens, memory: tokens + a.Demand.OutputTokens,
-		prefill: time.Duration(float64(tokens) * float64(d.cost(a.Demand.Model)) * e.slow),
-		alone:   e.wait(now) == 0,
+		prefill: read, alone: e.wait(now) == 0,
 	}
 	d.tickets[t.id] = t
 	return t
 }
 
+// reading returns the prompt tokens that the engine does not keep, and how long it takes to read them.
+func (d *Desk) reading(a *ask, e *engine) (tokens int, read time.Duration) {
+	tokens = a.Demand.PromptTokens - e.cache.known(a.chain, a.Demand.Parts)
+	return tokens, time.Duration(float64(tokens) * float64(d.cost(a.Demand.Model)) * e.slow)
+}
+
 // awaitModel keeps a call while its model can still be loaded in time.
 func (d *Desk) awaitModel(now time.Time, a *ask, left time.Duration) Decision {
 	m := d.kind(a.Service).Model(a.Demand.Model)
@@ -258,11 +263,6 @@
 	return sum / time.Duration(max(holders, 1))
 }
 
-// patience is how long a call may have to wait when it comes, because estimates are short in an overload.
-func (d *Desk) patience(left time.Duration) time.Duration {
-	return time.Duration(patienceShare * float64(left))
-}
-
 // waitOrRefuse keeps a call that some engine holds the model for but no engine can take now.
 func (d *Desk) waitOrRefuse(a *ask, left time.Duration) Decision {
 	if a.Left-left > time.Duration(holdShare*float64(a.Target)) || left < a.Left/2 {
@@ -286,12 +286,6 @@
 	}
 }
 
-func parseAdapter(s string) adapterKey {
-	name, _, _ := strings.Cut(s, "@")
-	model, adapter, _ := strings.Cut(name, "/")
-	return adapterKey{model, adapter}
-}
-
 // Engines returns the engines that may take orders, by service.
 func (d *Desk) Engines() []*site.Upstream {
 	out := make([]*site.Upstream, 0, len(d.engines))
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -147,9 +147,9 @@
 	}
 	e.sequence, e.reported = r.Sequence, now
 	e.InRAM, e.OnDisk = r.InRAM, r.OnDisk
-	incoming := make(map[adapterKey]bool, len(r.Incoming))
-	for _, name := range r.Incoming {
-		incoming[parseAdapter(name)] = true
+	incoming := make(map[site.Adapter]bool, len(r.Incoming))
+	for _, k := range r.Incoming {
+		incoming[k] = true
 	}
 	e.setModels(now, r.Models, incoming)
 	if r.KVTotal > 0 {
@@ -164,7 +164,7 @@
 		return
 	}
 	e.sequence = max(e.sequence, sequence)
-	switch k := (adapterKey{o.Model, o.Adapter}); {
+	switch k := (site.Adapter{Model: o.Model, Name: o.Adapter}); {
 	case o.Adapter != "" && o.Unload:
 		delete(e.adapters, k)
 	case o.Adapter != "":
@@ -198,8 +198,8 @@
 		return
 	}
 	e.noOrders = now.Add(orderPause)
-	if a := e.adapters[adapterKey{model, name}]; a != nil && a.calls == 0 {
-		delete(e.adapters, adapterKey{model, name})
+	if a := e.adapters[site.Adapter{Model: model, Name: name}]; a != nil && a.calls == 0 {
+		delete(e.adapters, site.Adapter{Model: model, Name: name})
 	}
 	for _, a := range e.adapters {
 		a.leaving = false
@@ -216,7 +216,7 @@
 	if len(q.Tried) == 0 {
 		d.count(now, &q)
 	}
-	a := &ask{Ask: q, arrived: now, deadline: now.Add(q.Left)}
+	a := newAsk(now, q)
 	got := d.decide(now, a)
 	if got.Kind == Waiting {
 		d.waiting = append(d.waiting, a)
@@ -267,7 +267,7 @@
 	if e == nil || d.tickets[h.Grant.Ticket] != nil {
 		return
 	}
-	t := d.ticket(now, e, &ask{Ask: h.Ask})
+	t := d.ticket(now, e, newAsk(now, h.Ask))
 	delete(d.tickets, t.id)
 	t.id, t.first = h.Grant.Ticket, h.First
 	d.tickets[t.id] = t
@@ -312,7 +312,7 @@
 			e.failures = 0
 		}
 	case Absent:
-		if k := t.key(); k.name != "" {
+		if k := t.key(); k.Name != "" {
 			delete(e.adapters, k)
 		}
 		e.absent[t.ask.Demand.Model] = now.Add(absentTime)
--- a/internal/desk/engine.go
+++ b/internal/desk/engine.go
@@ -10,7 +10,7 @@
 	site.Upstream
 	tickets  map[uint64]*ticket
 	cache    *cache
-	adapters map[adapterKey]*adapter
+	adapters map[site.Adapter]*adapter
 	models   map[string]bool
 	closed   map[string]bool // models that are being unloaded
 	loading  map[string]time.Time
@@ -35,20 +35,20 @@
 func newEngine(u *site.Upstream, kvTokens int) *engine {
 	return &engine{
 		Upstream: *u, tickets: make(map[uint64]*ticket), cache: newCache(int(cacheShare * float64(kvTokens))),
-		adapters: make(map[adapterKey]*adapter), models: make(map[string]bool), closed: make(map[string]bool),
+		adapters: make(map[site.Adapter]*adapter), models: make(map[string]bool), closed: make(map[string]bool),
 		loading: make(map[string]time.Time), absent: make(map[string]time.Time), kvTotal: kvTokens, slow: 1,
 	}
 }
 
 // setModels takes over what the engine says that it holds.
-func (e *engine) setModels(now time.Time, list []site.Resident, incoming map[adapterKey]bool) {
+func (e *engine) setModels(now time.Time, list []site.Resident, incoming map[site.Adapter]bool) {
 	e.models = make(map[string]bool, len(list))
-	held := make(map[adapterKey]bool)
+	held := make(map[site.Adapter]bool)
 	for _, m := range list {
 		e.models[m.Name] = true
 		delete(e.loading, m.Name)
 		for _, a := range m.Adapters {
-			held[adapterKey{m.Name, a}] = true
+			held[site.Adapter{Model: m.Name, Name: a}] = true
 		}
 	}
 	for name := range e.closed {
@@ -66,7 +66,7 @@
 	}
 	for k, a := range e.adapters {
 		settled := now.Sub(a.ready) > reportLag
-		if !held[k] && !incoming[k] && settled && a.calls == 0 || !e.models[k.model] {
+		if !held[k] && !incoming[k] && settled && a.calls == 0 || !e.models[k.Model] {
 			delete(e.adapters, k)
 		}
 	}
@@ -105,7 +105,7 @@
 	}
 }
 
-func (e *engine) adapter(now time.Time, k adapterKey) *adapter {
+func (e *engine) adapter(now time.Time, k site.Adapter) *adapter {
 	a := e.adapters[k]
 	if a == nil {
 		a = &adapter{lastUse: now}
@@ -175,4 +175,4 @@
 	return n
 }
 
-func (t *ticket) key() adapterKey { return adapterKey{t.ask.Demand.Model, t.ask.Demand.Adapter} }
+func (t *ticket) key() site.Adapter { return t.ask.key() }
--- a/internal/desk/types.go
+++ b/internal/desk/types.go
@@ -103,8 +103,6 @@
 		Asked   bool    // any call has asked for it
 	}
 
-	adapterKey struct{ model, name string }
-
 	adapter struct {
 		calls   int
 		lastUse time.Time
@@ -127,8 +125,16 @@
 
 	ask struct {
 		Ask
+		chain    []uint64 // keys of the prompt's parts
 		arrived  time.Time
 		deadline time.Time
 		engine   string // where the adapter is being loaded
 	}
 )
+
+func newAsk(now time.Time, q Ask) *ask {
+	return &ask{Ask: q, chain: keys(&q.Demand), arrived: now, deadline: now.Add(q.Left)}
+}
+
+// key names the adapter that the call asks for.
+func (a *Ask) key() site.Adapter { return site.Adapter{Model: a.Demand.Model, Name: a.Demand.Adapter} }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,7 +33,7 @@
 	Retries  Retries
 	Stats    *stats.Set
 	Log      zerolog.Logger
-	// Stopping is when new calls are refused; the zero time is never.
+	// Stopping tells whether answers close their connections, and whether new calls are refused.
 	Stopping func() (closing, refusing bool)
 
 	inFlight atomic.Int64
@@ -53,7 +53,6 @@
 	header    http.Header
 	start     time.Time
 	deadline  time.Time
-	left      time.Duration // the caller's own limit, 0 without one
 	attempts  int
 	tried     []string
 	mayRun    bool       // some attempt may have run
@@ -161,8 +160,7 @@
 			c.fail(http.StatusBadRequest, reasonBadRequest)
 			return false
 		}
-		c.left = time.Duration(n * float64(time.Millisecond))
-		if end := c.start.Add(c.left); end.Before(c.deadline) {
+		if end := c.start.Add(time.Duration(n * float64(time.Millisecond))); end.Before(c.deadline) {
 			c.deadline = end
 		}
 	}
@@ -255,7 +253,7 @@
 	e.Msg("call ended")
 }
 
-// left reports whether the caller has gone.
+// gone reports whether the caller has left.
 func (c *call) gone() bool { return c.r.Context().Err() != nil }
 
 func hostOnly(host string) string {
--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -196,7 +197,7 @@
 			s.planners[name] = p
 		}
 		p.Kind = kind
-		slices.SortFunc(list, func(a, b stock.Engine) int { return compare(a.ID, b.ID) })
+		slices.SortFunc(list, func(a, b stock.Engine) int { return strings.Compare(a.ID, b.ID) })
 		for _, o := range p.Plan(now, list, needs) {
 			go s.carryOut(ctx, o)
 		}
@@ -209,7 +210,7 @@
 	defer h.mu.Unlock()
 	_, known := h.cargo.Sequence()
 	e := stock.Engine{
-		ID: h.up.ID, Domain: h.up.Domain, Loading: h.loading, Closing: h.closing, Calls: make(map[string]int),
+		ID: h.up.ID, Loading: h.loading, Closing: h.closing, Calls: make(map[string]int),
 		Busy: !known || h.report.Busy || h.sending,
 	}
 	if h.report != nil {
@@ -363,13 +364,3 @@
 	}
 	return now.Add(in)
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/internal/site/demand.go
+++ b/internal/site/demand.go
@@ -26,11 +26,14 @@
 		KVUsed   int
 		KVTotal  int
 		Models   []Resident
-		Incoming []string // adapters on their way, as model/adapter
+		Incoming []Adapter // adapters on their way
 		InRAM    []string
 		OnDisk   []string
 	}
 
+	// Adapter names an adapter of a model.
+	Adapter struct{ Model, Name string }
+
 	// Order asks an engine to load or unload a model or, with Adapter set, an adapter of a model that it holds.
 	Order struct {
 		Unload   bool
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -28,7 +28,6 @@
 	// Engine is what the planner knows of one engine.
 	Engine struct {
 		ID      string
-		Domain  string
 		Held    []string // models that it holds
 		Loading string   // a model on its way
 		Closing string   // a model that is being unloaded
