End a vouch with a suspension, and with one host that has the store

Cause: a holder goes on with orders while the store is away for all, on the word of other hosts. Their word was aged by the steady clock, which stands still while a machine is suspended, and three of four hosts sufficed although the fourth had the store and could have taken the seat. Change: the word is aged by boot time, and one host that has the store ends it. Tests: TestVouchEndsWithSuspension, TestAwayForAll (row 'one has it' is the old rule's failure).

--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -98,7 +98,9 @@
 	h.view = newView(h.Platform, h.seat, h.Stats, h.Log)
 	h.dispatch = newDispatch(s.Name, h.seat, h.Stats, h.Log)
 	h.view.changed = h.refresh
-	h.relay = &relay{self: self, view: h.view, seat: h.seat, seeds: s.Seeds, stats: h.Stats, log: h.Log}
+	h.relay = &relay{
+		self: self, view: h.view, seat: h.seat, seeds: s.Seeds, stats: h.Stats, log: h.Log, now: clock.Boot,
+	}
 	h.seat.Vouched = h.relay.vouched
 	h.steer = &steer{
 		self: s.Name, seat: h.seat, view: h.view, desk: h.dispatch, engines: h.Platform.Engines, stats: h.Stats,
--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -27,8 +27,10 @@
 	answerTime = 400 * time.Millisecond
 	// sourcePause is the pause before a lost source is tried again.
 	sourcePause = 250 * time.Millisecond
-	// witnesses is how many hosts are asked whether the store is away for them too; their answers count for vouchAge.
+	// witnesses is how many hosts are asked whether the store is away for them too, of which leastLost must say so; their
+	// answers count for vouchAge.
 	witnesses = 4
+	leastLost = 2
 	vouchAge  = time.Second
 	// urgentEvery is how often any host is asked for news while the store does not answer this one.
 	urgentEvery = 300 * time.Millisecond
@@ -46,20 +48,23 @@
 	seeds []string
 	stats *stats.Set
 	log   zerolog.Logger
+	// now is the time that goes on while the machine is suspended.
+	now func() time.Duration
 
 	mu    sync.Mutex
 	heard map[string]bool // sources that answer and have the store
-	vouch time.Time       // when other hosts last said that the store is away
+	vouch time.Duration   // boot time at which other hosts last said that the store is away, 0 before
 }
 
 // failing reports whether this host has lost the store.
 func (r *relay) failing() bool { return r.view.failing() || r.seat.Failing() }
 
-// vouched reports whether other hosts have just said that they have lost the store too.
+// vouched reports whether other hosts have just said that they have lost the store too. Boot time counts a suspension of
+// this machine, in which another host may have taken the seat.
 func (r *relay) vouched() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.vouch) < vouchAge
+	return r.vouch > 0 && r.now()-r.vouch < vouchAge
 }
 
 // askWitnesses asks some hosts whether they have the store, and notes when none of them has.
@@ -70,27 +75,37 @@
 	if len(hosts) == 0 {
 		return
 	}
-	asked := time.Now()
-	answers := make(chan bool, len(hosts))
+	asked := r.now()
+	answers := make(chan error, len(hosts))
 	for _, o := range hosts {
-		go func() {
-			err := r.askOnce(ctx, o.Link)
-			answers <- errors.Is(err, errSourceFails)
-		}()
+		go func() { answers <- r.askOnce(ctx, o.Link) }()
 	}
-	lost := 0
+	results := make([]error, 0, len(hosts))
 	for range hosts {
-		if <-answers {
-			lost++
-		}
+		results = append(results, <-answers)
 	}
-	if 2*lost > len(hosts) && lost >= min(2, len(hosts)) {
+	if awayForAll(results) {
 		r.mu.Lock()
 		r.vouch = asked
 		r.mu.Unlock()
 	}
 }
 
+// awayForAll reports whether most witnesses say that they have lost the store and none has it, as a host that has it could
+// have taken the seat.
+func awayForAll(answers []error) bool {
+	lost := 0
+	for _, err := range answers {
+		switch {
+		case err == nil:
+			return false
+		case errors.Is(err, errSourceFails):
+			lost++
+		}
+	}
+	return 2*lost > len(answers) && lost >= min(leastLost, len(answers))
+}
+
 // setSeeds replaces the addresses to ask before any host is known.
 func (r *relay) setSeeds(seeds []string) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/native/relay_test.go
@@ -0,0 +1,52 @@
+package native
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Guards against orders of a holder that the store has turned away while another host, which the store serves, has taken
+// the seat.
+func TestAwayForAll(t *testing.T) {
+	silent := errors.New("no answer")
+	for _, tt := range []struct {
+		name    string
+		answers []error
+		want    bool
+	}{
+		{"nobody to ask", nil, false},
+		{"all have lost it", []error{errSourceFails, errSourceFails, errSourceFails, errSourceFails}, true},
+		{"one has it", []error{errSourceFails, errSourceFails, errSourceFails, nil}, false},
+		{"one does not answer", []error{errSourceFails, silent, errSourceFails, errSourceFails}, true},
+		{"most do not answer", []error{errSourceFails, silent, silent, silent}, false},
+		{"half do not answer", []error{errSourceFails, errSourceFails, silent, silent}, false},
+		{"the only other host has lost it", []error{errSourceFails}, true},
+		{"the only other host is silent", []error{silent}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := awayForAll(tt.answers); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against orders just after a suspension, during which the store may have come back and the seat moved.
+func TestVouchEndsWithSuspension(t *testing.T) {
+	now := time.Minute
+	r := &relay{now: func() time.Duration { return now }}
+	if r.vouched() {
+		t.Error("vouched before any host was asked")
+	}
+	r.vouch = now
+	now += vouchAge / 2
+	if !r.vouched() {
+		t.Error("not vouched just after hosts have said so")
+	}
+	now += 20 * time.Second
+	if r.vouched() {
+		t.Error("vouched after a suspension of 20 s")
+	}
+}
