Choose the engine whose copy can be spared

Ruled out: lost orders (the unloads were accepted), too few loads (the rate was not used up). Change: of an engine's models the one with least load per remaining copy makes way, that load weighs in the choice of the engine, and a model whose other copies would then be loaded beyond 0.6 does not make way.

--- a/internal/native/steer.go
+++ b/internal/native/steer.go
@@ -213,11 +213,13 @@
 		ID: h.up.ID, Loading: h.loading, Closing: h.closing, Calls: make(map[string]int),
 		Busy: !known || h.report.Busy || h.sending,
 	}
+	// Until an engine has reported, its entry in the list tells what it holds; its models are not taken for missing.
+	models := h.up.Models
 	if h.report != nil {
-		e.InRAM, e.OnDisk = h.report.InRAM, h.report.OnDisk
-		for _, m := range h.report.Models {
-			e.Held = append(e.Held, m.Name)
-		}
+		e.InRAM, e.OnDisk, models = h.report.InRAM, h.report.OnDisk, h.report.Models
+	}
+	for _, m := range models {
+		e.Held = append(e.Held, m.Name)
 	}
 	s.desk.mu.Lock()
 	for _, m := range e.Held {
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -20,6 +20,12 @@
 	rateShare = 0.95
 	// rateBurst is how many loads from the weight store may begin at once.
 	rateBurst = 2.0
+	// idleWork is the work below which nobody is taken to ask for a model.
+	idleWork = 0.01
+	// bareLimit is the load of each remaining copy up to which a model makes way for one that has no copy.
+	bareLimit = 0.6
+	// harmTime is the load time that a victim's load of one weighs in the choice of an engine.
+	harmTime = 10 * time.Second
 	// settleTime protects a new copy from making way before its calls have arrived.
 	settleTime = 4 * time.Second
 )
@@ -56,6 +62,12 @@
 
 	place struct{ engine, model string }
 
+	// room tells which copy makes way, or none, and the load that each other copy of its model would then have.
+	room struct {
+		victim string
+		harm   float64
+	}
+
 	want struct {
 		model  *site.Model
 		copies int
@@ -177,7 +189,7 @@
 	now time.Time, engines []Engine, wants []*want, used map[string]bool, w *want,
 ) (Order, bool) {
 	var best *Engine
-	var victim string
+	var bestRoom room
 	var bestCost time.Duration
 	for i := range engines {
 		e := &engines[i]
@@ -188,22 +200,22 @@
 		if stored && p.tokens < 1 {
 			continue
 		}
-		cost += e.Backlog
-		out, ok := p.makeRoom(now, e, wants, w)
+		r, ok := p.makeRoom(now, e, wants, w)
 		if !ok {
 			continue
 		}
+		cost += e.Backlog + time.Duration(r.harm*float64(harmTime))
 		if best == nil || cost < bestCost {
-			best, victim, bestCost = e, out, cost
+			best, bestRoom, bestCost = e, r, cost
 		}
 	}
 	if best == nil {
 		return Order{}, false
 	}
-	if victim != "" {
-		best.Closing = victim
-		of(wants, victim).copies--
-		return Order{Engine: best.ID, Model: victim, Unload: true}, true
+	if bestRoom.victim != "" {
+		best.Closing = bestRoom.victim
+		of(wants, bestRoom.victim).copies--
+		return Order{Engine: best.ID, Model: bestRoom.victim, Unload: true}, true
 	}
 	if _, stored := best.loadTime(w.model); stored {
 		p.tokens--
@@ -214,8 +226,8 @@
 	return Order{Engine: best.ID, Model: w.model.Name}, true
 }
 
-// makeRoom returns the model that makes way for w on the engine, or none when there is room.
-func (p *Planner) makeRoom(now time.Time, e *Engine, wants []*want, w *want) (string, bool) {
+// makeRoom returns how w finds room on the engine, with the victim that does least harm.
+func (p *Planner) makeRoom(now time.Time, e *Engine, wants []*want, w *want) (room, bool) {
 	held := 0.0
 	for _, name := range e.Held {
 		if m := p.Kind.Model(name); m != nil {
@@ -223,26 +235,38 @@
 		}
 	}
 	if held+p.adapterRoom()+w.model.MemoryMB <= p.Kind.MemoryMB {
-		return "", true
-	}
-	best := ""
-	lowest := w.pressure() / clearGain
-	if w.copies == 0 {
-		lowest = w.pressure()
+		return room{}, true
 	}
+	var best room
 	for _, name := range e.Held {
 		v := of(wants, name)
-		if v == nil || v.copies < 2 || e.Calls[name] > 0 && !w.bare {
+		if v == nil || e.Calls[name] > 0 && !w.bare {
 			continue
 		}
-		if now.Sub(p.since[place{e.ID, name}]) < settleTime && v.work > 0.01 && !w.bare {
+		if now.Sub(p.since[place{e.ID, name}]) < settleTime && v.work > idleWork && !w.bare {
 			continue
 		}
-		if after := v.work / float64(v.copies-1); after < lowest && after < fullLoad || after < lowest/clearGain {
-			best, lowest = name, after
+		if harm, ok := w.displaces(v); ok && (best.victim == "" || harm < best.harm) {
+			best = room{name, harm}
 		}
 	}
-	return best, best != ""
+	return best, best.victim != ""
+}
+
+// displaces reports whether a copy of w is worth one of v, and the load of each copy of v that would remain.
+func (w *want) displaces(v *want) (harm float64, ok bool) {
+	if v.copies < 2 {
+		return 0, false
+	}
+	after := v.work / float64(v.copies-1)
+	switch {
+	case w.bare:
+		return after, after < bareLimit
+	case w.copies == 0:
+		return after, after < fullLoad
+	}
+	limit := w.pressure() / clearGain
+	return after, after < limit && after < fullLoad || after < limit/clearGain
 }
 
 // adapterRoom is the memory that an engine's adapters may take at most.
