Load a model that nobody asks for only once engines have registered

Change: a model without a copy and without calls waits until no new engine has come for 2.5 s. Test: TestEnginesRegisterOneByOne, failing before.

--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -26,6 +26,9 @@
 	bareLimit = 0.6
 	// harmTime is the load time that a victim's load of one weighs in the choice of an engine.
 	harmTime = 10 * time.Second
+	// joinTime without a new engine shows that those which live have registered: about two seconds after their start or
+	// after an outage of the store.
+	joinTime = 2500 * time.Millisecond
 	// settleTime protects a new copy from making way before its calls have arrived.
 	settleTime = 4 * time.Second
 )
@@ -58,6 +61,8 @@
 		tokens float64
 		filled time.Time
 		since  map[place]time.Time // when a copy was first seen
+		known  map[string]bool     // engines that the last plan saw
+		joined time.Time           // when the last new engine was seen
 	}
 
 	place struct{ engine, model string }
@@ -107,6 +112,14 @@
 func (p *Planner) note(now time.Time, engines []Engine) {
 	seen := make(map[place]bool)
 	first := p.since == nil
+	ids := make(map[string]bool, len(engines))
+	for i := range engines {
+		ids[engines[i].ID] = true
+		if !p.known[engines[i].ID] {
+			p.joined = now
+		}
+	}
+	p.known = ids
 	if first {
 		p.since = make(map[place]time.Time)
 	}
@@ -177,6 +190,10 @@
 		if w.copies > 0 && w.pressure() < fullLoad {
 			continue
 		}
+		if w.copies == 0 && !w.bare && w.work < idleWork && now.Sub(p.joined) < joinTime {
+			// An engine that has not registered yet may hold the model.
+			continue
+		}
 		if o, ok := p.place(now, engines, wants, used, w); ok {
 			return o, true
 		}
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// Guards against loads of models that engines hold which have not registered yet, and against waiting for these while
+// calls wait.
+func TestEnginesRegisterOneByOne(t *testing.T) {
+	p := &stock.Planner{Kind: kind()}
+	now := time.Unix(100, 0)
+	all := [][]string{{"hot", "warm"}, {"hot", "cold"}, {"hot", "rare"}}
+	for n := range all {
+		if got := p.Plan(now, engines(all[:n+1]...), nil); len(got) > 0 {
+			t.Errorf("%d engines: orders %+v, want none", n+1, got)
+		}
+		now = now.Add(time.Second)
+	}
+	waiting := map[string]desk.ModelNeed{"cold": {Waiting: 1, Asked: true}}
+	if got := p.Plan(now, engines(all[0], all[2]), waiting); len(got) == 0 {
+		t.Error("no order although calls wait")
+	}
+	now = now.Add(5 * time.Second)
+	if got := p.Plan(now, engines(all[0], all[2]), nil); len(got) == 0 {
+		t.Error("no order for a model that only an engine held which is gone")
+	}
+}
+
 // Guards against more loads from the weight store than its rate allows, also when every model is wanted at once.
 func TestLoadRate(t *testing.T) {
 	p := &stock.Planner{Kind: kind()}
