Let calls that missed their target wait for streams to rest

A late answer is worth a tenth, and it took the time of those that could still be given in time. Change: besides that order, a call that has missed its target goes on waiting for a lull until half of its time is over. Test: TestLateCallsGoLast, failing before.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -30,7 +30,7 @@
 	}
 	best, holders := d.best(now, a)
 	if best != nil && best.holds && now.Equal(a.arrived) {
-		if ahead := d.ahead(a, holders); best.first+ahead > time.Duration(patienceShare*float64(left)) {
+		if ahead := d.ahead(a, holders); best.first+ahead > share(patienceShare, left) {
 			return d.refuse(a, ReasonOverload, ahead)
 		}
 	}
@@ -39,7 +39,7 @@
 		return d.awaitModel(now, a, left)
 	case best == nil:
 		return d.waitOrRefuse(a, left)
-	case best.holds && now.Sub(a.arrived) < time.Duration(holdShare*float64(a.Target)):
+	case best.holds && now.Sub(a.arrived) < max(share(holdShare, a.Target), share(lateShare, a.Left)):
 		return Decision{Kind: Waiting, Call: a.Call}
 	case best.first > left:
 		return d.refuse(a, ReasonOverload, best.first-left)
@@ -122,14 +122,14 @@
 func (d *Desk) spare(now time.Time, a *ask, o *option, read time.Duration) {
 	e := o.engine
 	n, gap := e.streams()
-	long := a.Gap > 0 && read > time.Duration(longShare*float64(a.Gap))
+	long := a.Gap > 0 && read > share(longShare, a.Gap)
 	if e.lane && !long {
 		o.score += laneCost
 	}
 	if n == 0 {
 		return
 	}
-	most := time.Duration(burstShare * float64(gap))
+	most := share(burstShare, gap)
 	if e.pause(now, read) <= most {
 		return
 	}
@@ -265,16 +265,16 @@
 
 // waitOrRefuse keeps a call that some engine holds the model for but no engine can take now.
 func (d *Desk) waitOrRefuse(a *ask, left time.Duration) Decision {
-	if a.Left-left > time.Duration(holdShare*float64(a.Target)) || left < a.Left/2 {
+	if a.Left-left > share(holdShare, a.Target) || left < a.Left/2 {
 		return d.refuse(a, ReasonOverload, minRetryAfter)
 	}
 	return Decision{Kind: Waiting, Call: a.Call}
 }
 
-// order puts the call with the nearest target first, and calls that have missed theirs last.
+// order puts the call with the nearest target first, and calls that cannot meet theirs any more last.
 func (a *ask) order(now time.Time, b *ask) int {
 	at, bt := a.arrived.Add(a.Target), b.arrived.Add(b.Target)
-	if c := less(now.After(at), now.After(bt)); c != 0 {
+	if c := less(now.Add(a.least).After(at), now.Add(b.least).After(bt)); c != 0 {
 		return c
 	}
 	return at.Compare(bt)
@@ -302,3 +302,5 @@
 	slices.SortFunc(out, func(a, b *site.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
+
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -44,6 +44,8 @@
 	overdue = 40 * time.Millisecond
 	// holdShare is the part of a call's target for which it waits for an engine's streams to rest.
 	holdShare = 1.0
+	// lateShare is the part of a call's time for which it waits after it has missed its target.
+	lateShare = 0.5
 	// patienceShare is the part of a call's time that may pass before its prompt is read.
 	patienceShare = 0.7
 	// orderTime is how long a call waits for a load of its model to begin.
@@ -217,6 +219,7 @@
 		d.count(now, &q)
 	}
 	a := newAsk(now, q)
+	a.least = time.Duration(q.Demand.Fresh())*d.cost(q.Demand.Model) + answerOverhead
 	got := d.decide(now, a)
 	if got.Kind == Waiting {
 		d.waiting = append(d.waiting, a)
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -235,3 +235,40 @@
 		t.Errorf("%d calls wait, %d are refused at once", waiting, refused)
 	}
 }
+
+// Guards against calls that have missed their target, in an overload by long prompts, but hold up streams or calls that can
+// still be served in time.
+func TestLateCallsGoLast(t *testing.T) {
+	const gap = 500 * time.Millisecond
+	d := newDesk(1)
+	busy := call("stream", 100)
+	busy.Gap, busy.Target = gap, time.Second
+	d.First(start, d.Ask(start, busy).Grant.Ticket)
+	reading := call("reading", 9000)
+	reading.Gap, reading.Target = gap, time.Second
+	first := d.Ask(start, reading)
+	if first.Kind != desk.Granted {
+		first = d.Step(start.Add(50 * time.Millisecond))[0]
+	}
+	late := call("late", 9000)
+	late.Gap, late.Target = gap, 300*time.Millisecond
+	now := start.Add(100 * time.Millisecond)
+	if got := d.Ask(now, late); got.Kind != desk.Waiting {
+		t.Fatalf("late call: %+v", got)
+	}
+	now = now.Add(200 * time.Millisecond)
+	soon := call("soon", 1000)
+	soon.Gap, soon.Target = gap, time.Second
+	if got := d.Ask(now, soon); got.Kind != desk.Waiting {
+		t.Fatalf("call in time: %+v", got)
+	}
+	now = now.Add(200 * time.Millisecond)
+	if got := d.Step(now); len(got) > 0 {
+		t.Errorf("granted while streams have no lull: %+v", got)
+	}
+	d.First(now, first.Grant.Ticket)
+	got := d.Step(now.Add(100 * time.Millisecond))
+	if len(got) != 1 || got[0].Call != "soon" {
+		t.Errorf("first granted: %+v, want the call that can still be served in time", got)
+	}
+}
--- a/internal/desk/types.go
+++ b/internal/desk/types.go
@@ -128,7 +128,8 @@
 		chain    []uint64 // keys of the prompt's parts
 		arrived  time.Time
 		deadline time.Time
-		engine   string // where the adapter is being loaded
+		engine   string        // where the adapter is being loaded
+		least    time.Duration // until the first event on an engine without other work
 	}
 )
 
