Tell a call at once when its answer would come far beyond its target

Change: a call is told to come back when the calls ahead take more than 1.7 times its target; the time to come back is what they take. Test: TestOverloadIsToldAtOnce has an upper bound now, failing before (18 calls waited).

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -30,7 +30,7 @@
 	}
 	best, holders := d.best(now, a)
 	if best != nil && best.holds && now.Equal(a.arrived) {
-		if ahead := d.ahead(a, holders); best.first+ahead > share(patienceShare, left) {
+		if ahead := d.ahead(a, holders); best.first+ahead > a.patience(left) {
 			return d.refuse(a, ReasonOverload, ahead)
 		}
 	}
@@ -271,6 +271,15 @@
 	return Decision{Kind: Waiting, Call: a.Call}
 }
 
+// patience returns how long the call may wait for its first event.
+func (a *ask) patience(left time.Duration) time.Duration {
+	most := share(patienceShare, left)
+	if a.Target > 0 {
+		most = min(most, share(lateMost, a.Target))
+	}
+	return most
+}
+
 // order puts the call with the nearest target first, and calls that cannot meet theirs any more last.
 func (a *ask) order(now time.Time, b *ask) int {
 	at, bt := a.arrived.Add(a.Target), b.arrived.Add(b.Target)
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -234,6 +234,10 @@
 	if waiting < 10 || refused < 30 {
 		t.Errorf("%d calls wait, %d are refused at once", waiting, refused)
 	}
+	// A prompt takes 0.16 s, so twice the target is over after twelve.
+	if waiting > 12 {
+		t.Errorf("%d calls wait, some for more than twice their target", waiting)
+	}
 }
 
 // Guards against calls that have missed their target, in an overload by long prompts, but hold up streams or calls that can
