Let two hosts watch the store instead of one a failure domain

Change: the first hosts of the first two domains watch; every host listens to both, as it did to two before. Test: TestWatchersOf.

--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// sources is how many watching hosts each host listens to, in different failure domains where there are several.
-	sources = 2
+	// watchers is how many hosts watch the store for all others, in different failure domains where there are several.
+	watchers = 2
 	// holdTime is how long a host keeps a question for news that it has no answer to.
 	holdTime = 2 * time.Second
 	// answerTime is how much longer the answer may take.
@@ -38,8 +38,8 @@
 
 var errSourceFails = errors.New("the source has lost the store")
 
-// relay spreads what the store tells: one host of each failure domain watches the store, the others listen to two of
-// these. A host without a source that reaches the store watches itself.
+// relay spreads what the store tells: a few hosts watch the store and all listen to these. A host without a source that
+// reaches the store watches itself.
 type relay struct {
 	self site.Host
 	view *view
@@ -133,27 +133,31 @@
 	slices.SortFunc(hosts, func(a, b site.Host) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Name, b.Name))
 	})
-	var first []site.Host
-	own := 0
 	watching := false
-	for i, o := range hosts {
-		if i > 0 && hosts[i-1].Domain == o.Domain {
+	out := make([]site.Host, 0, watchers)
+	for _, o := range watchersOf(hosts) {
+		if o.Name == r.self.Name {
+			watching = true
 			continue
 		}
-		if o.Domain == r.self.Domain {
-			own = len(first)
-			watching = o.Name == r.self.Name
-		}
-		first = append(first, o)
+		out = append(out, o)
 	}
-	out := make([]site.Host, 0, sources)
-	for i := range first {
-		o := first[(own+i)%len(first)]
-		if o.Name != r.self.Name && len(out) < sources {
-			out = append(out, o)
+	return out, watching
+}
+
+// watchersOf returns the hosts that watch the store, of a list by failure domain and name: the first of each of the
+// first domains, and where there are fewer domains the next hosts.
+func watchersOf(hosts []site.Host) []site.Host {
+	var out, rest []site.Host
+	for i, o := range hosts {
+		if i > 0 && hosts[i-1].Domain == o.Domain {
+			rest = append(rest, o)
+			continue
 		}
+		out = append(out, o)
 	}
-	return out, watching
+	out = append(out, rest...)
+	return out[:min(len(out), watchers)]
 }
 
 // run listens to the sources until ctx ends.
--- a/internal/native/relay_test.go
+++ b/internal/native/relay_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/site"
 )
 
 // Guards against orders of a holder that the store has turned away while another host, which the store serves, has taken
@@ -50,3 +52,29 @@
 		t.Error("vouched after a suspension of 20 s")
 	}
 }
+
+// Guards against calls to the store that grow with the failure domains, and against watching hosts in one domain only.
+func TestWatchersOf(t *testing.T) {
+	host := func(domain, name string) site.Host { return site.Host{Domain: domain, Name: name} }
+	for _, tt := range []struct {
+		name  string
+		hosts []site.Host
+		want  string
+	}{
+		{"none", nil, ""},
+		{"one", []site.Host{host("a", "1")}, "1"},
+		{"one domain", []site.Host{host("a", "1"), host("a", "2"), host("a", "3")}, "12"},
+		{"two domains", []site.Host{host("a", "1"), host("a", "2"), host("b", "3")}, "13"},
+		{"four domains", []site.Host{host("a", "1"), host("b", "2"), host("c", "3"), host("d", "4")}, "12"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			got := ""
+			for _, o := range watchersOf(tt.hosts) {
+				got += o.Name
+			}
+			if got != tt.want {
+				t.Errorf("watching hosts %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
