--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -185,12 +185,20 @@
 	h.Log.Info().Bool("held", held).Msg("seat changed")
 }
 
-// rank orders the live hosts for the seat.
-func (h *Host) rank(last string) int {
-	hosts := h.view.Hosts()
+func (h *Host) rank(last string) int { return rankOf(h.view.Hosts(), h.Settings.Name, last) }
+
+// rankOf orders the live hosts for the seat: those that registered last come first, because hosts that are restarted one
+// after the other have their stop behind them then. The last holder is left out.
+func rankOf(hosts []site.Host, self, last string) int {
+	var own int64
+	for _, o := range hosts {
+		if o.Name == self {
+			own = o.Registered
+		}
+	}
 	n := 0
 	for _, o := range hosts {
-		if o.Name < h.Settings.Name && o.Name != last {
+		if o.Name != self && o.Name != last && o.Registered > own {
 			n++
 		}
 	}
--- a/internal/native/relay_test.go
+++ b/internal/native/relay_test.go
@@ -78,3 +78,26 @@
 		})
 	}
 }
+
+// Guards against a seat that is handed, while hosts are restarted one after the other, to the next host to stop; each change
+// costs the time between the turns of two hosts.
+func TestRankOf(t *testing.T) {
+	hosts := []site.Host{
+		{Name: "a", Registered: 90}, {Name: "b", Registered: 11}, {Name: "c", Registered: 12}, {Name: "d", Registered: 95},
+	}
+	for _, tt := range []struct {
+		self, last string
+		want       int
+	}{
+		{"d", "", 0},
+		{"a", "", 1},
+		{"c", "", 2},
+		{"b", "", 3},
+		{"a", "d", 0},
+		{"not registered yet", "", 4},
+	} {
+		if got := rankOf(hosts, tt.self, tt.last); got != tt.want {
+			t.Errorf("%s after %q: rank %d, want %d", tt.self, tt.last, got, tt.want)
+		}
+	}
+}
--- a/internal/native/view.go
+++ b/internal/native/view.go
@@ -287,6 +287,7 @@
 			v.log.Warn().Err(err).Str("key", key).Msg("registration skipped")
 			return
 		}
+		h.Registered = it.Revision
 		v.hosts[key] = h
 	}
 }
--- a/internal/site/types.go
+++ b/internal/site/types.go
@@ -111,6 +111,8 @@
 		Link   string `cbor:"3,keyasint"` // address for other hosts
 		Domain string `cbor:"4,keyasint"`
 		Ready  bool   `cbor:"5,keyasint"`
+		// Registered is the store's revision of the registration; a higher one is newer.
+		Registered int64 `cbor:"-" json:"-"`
 	}
 )
 
