Tell a call at once when no order for its adapter can be sent in time

The call waited for its target and was refused just before orders went out. Change: while orders are known to go out later, a call is refused at once with that time if it cannot wait so long, and waits until then otherwise.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -38,7 +38,7 @@
 	case best == nil && holders == 0:
 		return d.awaitModel(now, a, left)
 	case best == nil:
-		return d.waitOrRefuse(a, left)
+		return d.waitOrRefuse(now, a, left)
 	case best.holds && now.Sub(a.arrived) < max(share(holdShare, a.Target), share(lateShare, a.Left)):
 		return Decision{Kind: Waiting, Call: a.Call}
 	case best.first > left:
@@ -263,9 +263,20 @@
 	return sum / time.Duration(max(holders, 1))
 }
 
-// waitOrRefuse keeps a call that some engine holds the model for but no engine can take now.
-func (d *Desk) waitOrRefuse(a *ask, left time.Duration) Decision {
-	if a.Left-left > share(holdShare, a.Target) || left < a.Left/2 {
+// waitOrRefuse keeps a call that some engine holds the model for but no engine can take now, because its adapter cannot be
+// loaded. Until adapters are placed for this desk that cannot change.
+func (d *Desk) waitOrRefuse(now time.Time, a *ask, left time.Duration) Decision {
+	since := a.arrived
+	if rest := d.PlacesFrom.Sub(now); rest > 0 {
+		if rest+answerOverhead > a.patience(left) {
+			return d.refuse(a, ReasonOverload, rest)
+		}
+		return Decision{Kind: Waiting, Call: a.Call}
+	}
+	if d.PlacesFrom.After(since) {
+		since = d.PlacesFrom
+	}
+	if now.Sub(since) > share(holdShare, a.Target) || left < a.Left/2 {
 		return d.refuse(a, ReasonOverload, minRetryAfter)
 	}
 	return Decision{Kind: Waiting, Call: a.Call}
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -276,3 +276,42 @@
 		t.Errorf("first granted: %+v, want the call that can still be served in time", got)
 	}
 }
+
+// Guards against calls that wait for an adapter although it is known that no order for it can be sent in time, and against
+// calls that are refused just before it can.
+func TestAdapterBeforeOrders(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		from time.Duration
+		want desk.Kind
+	}{
+		{"soon", time.Second, desk.Waiting},
+		{"later than the call can wait", 3 * time.Second, desk.Refused},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDesk(2)
+			d.PlacesFrom = start.Add(tt.from)
+			a := call("a", 1000)
+			a.Demand.Adapter, a.Target = "x1", 800*time.Millisecond
+			got := d.Ask(start, a)
+			if got.Kind != tt.want {
+				t.Fatalf("at once: %+v", got)
+			}
+			if got.Kind == desk.Refused {
+				if got.RetryAfter < tt.from {
+					t.Errorf("told to come back in %v, orders go out in %v", got.RetryAfter, tt.from)
+				}
+				return
+			}
+			if got := d.Step(start.Add(tt.from - time.Millisecond)); len(got) > 0 {
+				t.Errorf("before orders go out: %+v", got)
+			}
+			if got := d.Step(start.Add(tt.from)); len(got) > 0 {
+				t.Errorf("once orders go out: %+v", got)
+			}
+			if needs := d.AdapterNeeds(); len(needs) != 1 {
+				t.Errorf("orders %+v, want one for the adapter", needs)
+			}
+		})
+	}
+}
