Make room for a model on one engine at a time

Cause: an unload did not count as a copy on its way, so one call for a model without a copy made every engine that could give up a copy do so in the same plan, and again in the next plans until one had loaded the model. Change: the room that is being made counts as the copy it is for. A model whose calls have found no copy for 5 s may displace any other, so that an overload does not keep it unreachable. Test: TestModelWithoutCopyInOverload, failing before (two unloads for one model; none for the overdue one).

--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -277,7 +277,8 @@
 		{"first", []wire.Departure{{Upstream: "e", Seq: 2}}, []wire.Departure{{Upstream: "e", Seq: 2}}},
 		{"older", []wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 1, Back: true}}, []wire.Departure{{Upstream: "e", Seq: 2}}},
 		{
-			"back", []wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 3, Back: true}},
+			"back",
+			[]wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 3, Back: true}},
 			[]wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 3, Back: true}},
 		},
 	} {
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	idleWork = 0.01
 	// bareLimit is the load of each remaining copy up to which a model makes way for one that has no copy.
 	bareLimit = 0.6
+	// lackTime is how long such a model lacks a copy at most while others are loaded beyond that limit.
+	lackTime = 5 * time.Second
 	// harmTime is the load time that a victim's load of one weighs in the choice of an engine.
 	harmTime = 10 * time.Second
 	// joinTime without a new engine shows that those which live have registered: about two seconds after their start or
@@ -63,6 +66,10 @@
 		since  map[place]time.Time // when a copy was first seen
 		known  map[string]bool     // engines that the last plan saw
 		joined time.Time           // when the last new engine was seen
+		// making is for which model each engine is unloading another one.
+		making map[string]string
+		// lacking is since when calls have come for a model without a copy.
+		lacking map[string]time.Time
 	}
 
 	place struct{ engine, model string }
@@ -78,15 +85,18 @@
 		copies int
 		work   float64
 		bare   bool // calls wait and no copy is on its way
-		asked  bool
+		// overdue models have lacked a copy for so long that any other model makes way.
+		overdue bool
+		asked   bool
 	}
 )
 
 // Plan returns at most one order for each engine.
 func (p *Planner) Plan(now time.Time, engines []Engine, needs map[string]desk.ModelNeed) []Order {
 	p.refill(now)
-	p.note(now, engines)
-	wants := p.wants(engines, needs)
+	p.noteEngines(now, engines)
+	p.noteCopies(now, engines)
+	wants := p.wants(now, engines, needs)
 	var out []Order
 	used := make(map[string]bool)
 	for range len(engines) {
@@ -109,9 +119,8 @@
 	p.filled = now
 }
 
-func (p *Planner) note(now time.Time, engines []Engine) {
-	seen := make(map[place]bool)
-	first := p.since == nil
+// noteEngines notes when a new engine was seen.
+func (p *Planner) noteEngines(now time.Time, engines []Engine) {
 	ids := make(map[string]bool, len(engines))
 	for i := range engines {
 		ids[engines[i].ID] = true
@@ -120,6 +129,12 @@
 		}
 	}
 	p.known = ids
+}
+
+// noteCopies notes since when each copy has been there.
+func (p *Planner) noteCopies(now time.Time, engines []Engine) {
+	seen := make(map[place]bool)
+	first := p.since == nil
 	if first {
 		p.since = make(map[place]time.Time)
 	}
@@ -144,7 +159,15 @@
 	}
 }
 
-func (p *Planner) wants(engines []Engine, needs map[string]desk.ModelNeed) []*want {
+func (p *Planner) wants(now time.Time, engines []Engine, needs map[string]desk.ModelNeed) []*want {
+	if p.lacking == nil {
+		p.lacking, p.making = make(map[string]time.Time), make(map[string]string)
+	}
+	closing := make(map[string]bool)
+	for i := range engines {
+		closing[engines[i].ID] = engines[i].Closing != ""
+	}
+	maps.DeleteFunc(p.making, func(id, _ string) bool { return !closing[id] })
 	out := make([]*want, 0, len(p.Kind.Models))
 	for i := range p.Kind.Models {
 		m := &p.Kind.Models[i]
@@ -152,11 +175,20 @@
 		w := &want{model: m, work: n.Work, asked: n.Asked}
 		for j := range engines {
 			w.copies += engines[j].copies(m.Name)
+			if p.making[engines[j].ID] == m.Name {
+				w.copies++
+			}
 		}
 		if w.copies == 0 && n.Waiting > 0 {
 			w.bare = true
 			w.work = max(w.work, waitingWork*float64(n.Waiting))
 		}
+		if w.copies > 0 {
+			delete(p.lacking, m.Name)
+		} else if p.lacking[m.Name].IsZero() && n.Waiting > 0 {
+			p.lacking[m.Name] = now
+		}
+		w.overdue = w.bare && now.Sub(p.lacking[m.Name]) > lackTime
 		out = append(out, w)
 	}
 	return out
@@ -232,6 +264,10 @@
 	if bestRoom.victim != "" {
 		best.Closing = bestRoom.victim
 		of(wants, bestRoom.victim).copies--
+		// The room counts as the copy that it is made for, or every engine would make room at once.
+		p.making[best.ID] = w.model.Name
+		w.copies++
+		w.bare, w.overdue = false, false
 		return Order{Engine: best.ID, Model: bestRoom.victim, Unload: true}, true
 	}
 	if _, stored := best.loadTime(w.model); stored {
@@ -277,6 +313,8 @@
 	}
 	after := v.work / float64(v.copies-1)
 	switch {
+	case w.overdue:
+		return after, true
 	case w.bare:
 		return after, after < bareLimit
 	case w.copies == 0:
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// Guards against an overload of some models that takes a copy from them for every call to another one, and against models
+// that stay unreachable as long as it lasts.
+func TestModelWithoutCopyInOverload(t *testing.T) {
+	held := [][]string{{"hot", "warm"}, {"hot", "warm"}}
+	needs := map[string]desk.ModelNeed{
+		"hot": {Work: 3, Asked: true}, "warm": {Work: 3, Asked: true}, "cold": {Waiting: 1, Asked: true},
+	}
+	p := &stock.Planner{Kind: kind()}
+	now := time.Unix(100, 0)
+	for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		if got := p.Plan(now, engines(held...), needs); len(got) > 0 {
+			t.Fatalf("orders %+v while all copies are overloaded", got)
+		}
+	}
+	now = now.Add(2 * time.Second)
+	if got := p.Plan(now, engines(held...), needs); len(got) != 1 || !got[0].Unload {
+		t.Errorf("orders %+v, want room for the model that has lacked a copy for six seconds", got)
+	}
+}
+
 // Guards against more loads from the weight store than its rate allows, also when every model is wanted at once.
 func TestLoadRate(t *testing.T) {
 	p := &stock.Planner{Kind: kind()}
