--- a/cmd/figreel/main.go
+++ b/cmd/figreel/main.go
@@ -34,7 +34,9 @@
 		Usage: "serve many models and adapters on fewer accelerators",
 		Description: "figreel serve runs one entry host. The other commands are for operators; they talk to the " +
 			"operator address of any host.",
-		Commands:       append([]*cli.Command{serveCommand(), hostCommand(), explainCommand(), certsCommand()}, opcli.Commands()...),
+		Commands: append([]*cli.Command{
+			serveCommand(), hostCommand(), explainCommand(), certsCommand(),
+		}, opcli.Commands()...),
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 }
--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -263,8 +263,8 @@
 	return sum / time.Duration(max(holders, 1))
 }
 
-// waitOrRefuse keeps a call that some engine holds the model for but no engine can take now, because its adapter cannot be
-// loaded. Until adapters are placed for this desk that cannot change.
+// waitOrRefuse keeps a call that some engine holds the model for but no engine can take now, because its adapter cannot
+// be loaded. Until adapters are placed for this desk that cannot change.
 func (d *Desk) waitOrRefuse(now time.Time, a *ask, left time.Duration) Decision {
 	since := a.arrived
 	if rest := d.PlacesFrom.Sub(now); rest > 0 {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -46,8 +46,8 @@
 	holdShare = 1.0
 	// lateShare is the part of a call's time for which it waits after it has missed its target.
 	lateShare = 0.5
-	// patienceShare is the part of a call's time that may pass before its prompt is read; beyond lateMost times its target
-	// the call is told to come back, since an answer so late takes the time of those that can still be given in time.
+	// patienceShare is the part of a call's time that may pass before its prompt is read. Beyond lateMost times its
+	// target the call is told to come back: so late an answer takes the time of those that can still be in time.
 	patienceShare = 0.7
 	lateMost      = 1.7
 	// orderTime is how long a call waits for a load of its model to begin.
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -240,8 +240,8 @@
 	}
 }
 
-// Guards against calls that have missed their target, in an overload by long prompts, but hold up streams or calls that can
-// still be served in time.
+// Guards against calls that have missed their target, in an overload by long prompts, but hold up streams or calls that
+// can still be served in time.
 func TestLateCallsGoLast(t *testing.T) {
 	const gap = 500 * time.Millisecond
 	d := newDesk(1)
@@ -277,8 +277,8 @@
 	}
 }
 
-// Guards against calls that wait for an adapter although it is known that no order for it can be sent in time, and against
-// calls that are refused just before it can.
+// Guards against calls that wait for an adapter although it is known that no order for it can be sent in time, and
+// against calls that are refused just before it can.
 func TestAdapterBeforeOrders(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -201,8 +201,8 @@
 // SetOwner tells all hosts of a lease holder; a known higher epoch wins.
 func (t *Table) SetOwner(o wire.Owner) { t.announce(func(s *state) { s.setOwner(o) }) }
 
-// SetDeparture tells all hosts, this one included, of an upstream that leaves or returned; a known higher sequence number
-// wins.
+// SetDeparture tells all hosts, this one included, of an upstream that leaves or returned; a known higher sequence
+// number wins.
 func (t *Table) SetDeparture(d wire.Departure) {
 	var news bool
 	t.announce(func(s *state) { news = s.setDeparture(d) })
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -275,7 +275,11 @@
 		want []wire.Departure
 	}{
 		{"first", []wire.Departure{{Upstream: "e", Seq: 2}}, []wire.Departure{{Upstream: "e", Seq: 2}}},
-		{"older", []wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 1, Back: true}}, []wire.Departure{{Upstream: "e", Seq: 2}}},
+		{
+			"older",
+			[]wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 1, Back: true}},
+			[]wire.Departure{{Upstream: "e", Seq: 2}},
+		},
 		{
 			"back",
 			[]wire.Departure{{Upstream: "e", Seq: 2}, {Upstream: "e", Seq: 3, Back: true}},
--- a/internal/native/host.go
+++ b/internal/native/host.go
@@ -187,8 +187,8 @@
 
 func (h *Host) rank(last string) int { return rankOf(h.view.Hosts(), h.Settings.Name, last) }
 
-// rankOf orders the live hosts for the seat: those that registered last come first, because hosts that are restarted one
-// after the other have their stop behind them then. The last holder is left out.
+// rankOf orders the live hosts for the seat: those that registered last come first, because hosts that are restarted
+// one after the other have their stop behind them then. The last holder is left out.
 func rankOf(hosts []site.Host, self, last string) int {
 	var own int64
 	for _, o := range hosts {
--- a/internal/native/relay.go
+++ b/internal/native/relay.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// watchers is how many hosts watch the store for all others, in different failure domains where there are several.
+	// watchers is how many hosts watch the store for all others, in different failure domains where possible.
 	watchers = 2
 	// holdTime is how long a host keeps a question for news that it has no answer to.
 	holdTime = 2 * time.Second
@@ -27,8 +27,8 @@
 	answerTime = 400 * time.Millisecond
 	// sourcePause is the pause before a lost source is tried again.
 	sourcePause = 250 * time.Millisecond
-	// witnesses is how many hosts are asked whether the store is away for them too, of which leastLost must say so; their
-	// answers count for vouchAge.
+	// witnesses is how many hosts are asked whether the store is away for them too, of which leastLost must say so;
+	// their answers count for vouchAge.
 	witnesses = 4
 	leastLost = 2
 	vouchAge  = time.Second
@@ -59,8 +59,8 @@
 // failing reports whether this host has lost the store.
 func (r *relay) failing() bool { return r.view.failing() || r.seat.Failing() }
 
-// vouched reports whether other hosts have just said that they have lost the store too. Boot time counts a suspension of
-// this machine, in which another host may have taken the seat.
+// vouched reports whether other hosts have just said that they have lost the store too. Boot time counts a suspension
+// of this machine, in which another host may have taken the seat.
 func (r *relay) vouched() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,8 +91,8 @@
 	}
 }
 
-// awayForAll reports whether most witnesses say that they have lost the store and none has it, as a host that has it could
-// have taken the seat.
+// awayForAll reports whether most witnesses say that they have lost the store and none has it, as a host that has it
+// could have taken the seat.
 func awayForAll(answers []error) bool {
 	lost := 0
 	for _, err := range answers {
--- a/internal/native/relay_test.go
+++ b/internal/native/relay_test.go
@@ -9,8 +9,8 @@
 	"github.com/figreel/figreel/internal/site"
 )
 
-// Guards against orders of a holder that the store has turned away while another host, which the store serves, has taken
-// the seat.
+// Guards against orders of a holder that the store has turned away while another host, which the store serves, has
+// taken the seat.
 func TestAwayForAll(t *testing.T) {
 	silent := errors.New("no answer")
 	for _, tt := range []struct {
@@ -79,11 +79,14 @@
 	}
 }
 
-// Guards against a seat that is handed, while hosts are restarted one after the other, to the next host to stop; each change
-// costs the time between the turns of two hosts.
+// Guards against a seat that is handed, while hosts are restarted one after the other, to the next host to stop; each
+// change costs the time between the turns of two hosts.
 func TestRankOf(t *testing.T) {
 	hosts := []site.Host{
-		{Name: "a", Registered: 90}, {Name: "b", Registered: 11}, {Name: "c", Registered: 12}, {Name: "d", Registered: 95},
+		{Name: "a", Registered: 90},
+		{Name: "b", Registered: 11},
+		{Name: "c", Registered: 12},
+		{Name: "d", Registered: 95},
 	}
 	for _, tt := range []struct {
 		self, last string
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -160,14 +160,7 @@
 }
 
 func (p *Planner) wants(now time.Time, engines []Engine, needs map[string]desk.ModelNeed) []*want {
-	if p.lacking == nil {
-		p.lacking, p.making = make(map[string]time.Time), make(map[string]string)
-	}
-	closing := make(map[string]bool)
-	for i := range engines {
-		closing[engines[i].ID] = engines[i].Closing != ""
-	}
-	maps.DeleteFunc(p.making, func(id, _ string) bool { return !closing[id] })
+	p.forgetRoom(engines)
 	out := make([]*want, 0, len(p.Kind.Models))
 	for i := range p.Kind.Models {
 		m := &p.Kind.Models[i]
@@ -183,17 +176,39 @@
 			w.bare = true
 			w.work = max(w.work, waitingWork*float64(n.Waiting))
 		}
-		if w.copies > 0 {
-			delete(p.lacking, m.Name)
-		} else if p.lacking[m.Name].IsZero() && n.Waiting > 0 {
-			p.lacking[m.Name] = now
-		}
-		w.overdue = w.bare && now.Sub(p.lacking[m.Name]) > lackTime
+		w.overdue = p.lacks(now, w)
 		out = append(out, w)
 	}
 	return out
 }
 
+// forgetRoom forgets the room that was made: the engine has ended its unload, or is gone.
+func (p *Planner) forgetRoom(engines []Engine) {
+	if p.making == nil {
+		p.making = make(map[string]string)
+	}
+	closing := make(map[string]bool)
+	for i := range engines {
+		closing[engines[i].ID] = engines[i].Closing != ""
+	}
+	maps.DeleteFunc(p.making, func(id, _ string) bool { return !closing[id] })
+}
+
+// lacks reports whether calls wait for a model that has lacked a copy for lackTime.
+func (p *Planner) lacks(now time.Time, w *want) bool {
+	if p.lacking == nil {
+		p.lacking = make(map[string]time.Time)
+	}
+	since, known := p.lacking[w.model.Name]
+	switch {
+	case w.copies > 0:
+		delete(p.lacking, w.model.Name)
+	case w.bare && !known:
+		p.lacking[w.model.Name] = now
+	}
+	return w.bare && known && now.Sub(since) > lackTime
+}
+
 // copies counts a copy that is there or on its way.
 func (e *Engine) copies(model string) int {
 	if e.Loading == model || slices.Contains(e.Held, model) && e.Closing != model {
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// Guards against an overload of some models that takes a copy from them for every call to another one, and against models
-// that stay unreachable as long as it lasts.
+// Guards against an overload of some models that takes a copy from them for every call to another one, and against
+// models that stay unreachable as long as it lasts.
 func TestModelWithoutCopyInOverload(t *testing.T) {
 	held := [][]string{{"hot", "warm"}, {"hot", "warm"}}
 	needs := map[string]desk.ModelNeed{
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -100,7 +100,8 @@
 		if !s.concerns(l, upstreams) {
 			continue
 		}
-		if _, err := fmt.Fprintf(w, "%+9.1f ms  %s\n", float64(l.at.Sub(first))/float64(time.Millisecond), l); err != nil {
+		offset := float64(l.at.Sub(first)) / float64(time.Millisecond)
+		if _, err := fmt.Fprintf(w, "%+9.1f ms  %s\n", offset, l); err != nil {
 			return errors.Wrap(err, "write story")
 		}
 	}
@@ -130,7 +131,7 @@
 			return l.call == "" && slices.Contains(l.upstreams, u)
 		})
 		if !known {
-			notes = append(notes, "no host tells when upstream "+u+" came: the logs begin later, or the line was dropped")
+			notes = append(notes, "no host tells when upstream "+u+" came: logs begin later, or a line was dropped")
 		}
 	}
 	_, err := fmt.Fprintln(w, strings.Join(notes, "\n"))
