--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -1,7 +1,6 @@
 package desk
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -96,12 +95,6 @@
 	lanesAt time.Time
 }
 
-type demand struct {
-	work  float64
-	at    time.Time
-	asked bool
-}
-
 // SetConfig takes a version of the configuration into force.
 func (d *Desk) SetConfig(c *site.Config) {
 	d.init()
@@ -330,23 +323,6 @@
 	}
 }
 
-// Needs returns the recent work of every model that was asked for.
-func (d *Desk) Needs(now time.Time) map[string]ModelNeed {
-	out := make(map[string]ModelNeed, len(d.demand))
-	for name, m := range d.demand {
-		out[name] = ModelNeed{Work: m.decayed(now), Asked: m.asked}
-	}
-	for _, a := range d.waiting {
-		if a.engine != "" {
-			continue
-		}
-		n := out[a.Demand.Model]
-		n.Waiting++
-		out[a.Demand.Model] = n
-	}
-	return out
-}
-
 // Calls returns the number of tickets for a model on an engine.
 func (d *Desk) Calls(id, model string) int {
 	if e := d.engines[id]; e != nil {
@@ -387,20 +363,3 @@
 	}
 	return firstTokenCost
 }
-
-// count adds the call's work to its model's demand.
-func (d *Desk) count(now time.Time, q *Ask) {
-	m := d.demand[q.Demand.Model]
-	if m == nil {
-		m = &demand{at: now}
-		d.demand[q.Demand.Model] = m
-	}
-	m.asked = true
-	work := time.Duration(q.Demand.Fresh())*d.cost(q.Demand.Model) + time.Duration(q.Demand.OutputTokens)*outputCost
-	m.work = m.decayed(now) + work.Seconds()/demandTime.Seconds()
-	m.at = now
-}
-
-func (m *demand) decayed(now time.Time) float64 {
-	return m.work * math.Exp(-now.Sub(m.at).Seconds()/demandTime.Seconds())
-}
