Turn no call away for the length of its own prompt

Cause: found in reading the change: the wait beyond which a call is told to come back included the reading of its own prompt, so that a prompt of more than 1.7 targets would be refused wherever streams run, whatever waits. Change: that wait is 1.6 times the target beside the call's own reading. Test: TestLargeCallsAreNotTurnedAway, failing before.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -282,11 +282,12 @@
 	return Decision{Kind: Waiting, Call: a.Call}
 }
 
-// patience returns how long the call may wait for its first event.
+// patience returns how long the call may wait for its first event. The time to read its own prompt is no reason to turn
+// a large call away.
 func (a *ask) patience(left time.Duration) time.Duration {
 	most := share(patienceShare, left)
 	if a.Target > 0 {
-		most = min(most, share(lateMost, a.Target))
+		most = min(most, share(lateMost, a.Target)+a.least)
 	}
 	return most
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -45,10 +45,10 @@
 	holdShare = 1.0
 	// lateShare is the part of a call's time for which it waits after it has missed its target.
 	lateShare = 0.5
-	// patienceShare is the part of a call's time that may pass before its prompt is read. Beyond lateMost times its
-	// target the call is told to come back: so late an answer takes the time of those that can still be in time.
+	// patienceShare is the part of a call's time that may pass before its prompt is read. Where others take longer than
+	// lateMost times its target it is told to come back: so late an answer takes the time of those still in time.
 	patienceShare = 0.7
-	lateMost      = 1.7
+	lateMost      = 1.6
 	// orderTime is how long a call waits for a load of its model to begin.
 	orderTime = 2 * time.Second
 	// lateCost is the disadvantage of an engine for each stream that a long prompt would hold up.
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -315,3 +315,37 @@
 		})
 	}
 }
+
+// Guards against large calls that are refused wherever streams run, because their own prompt takes longer than a small
+// call may wait.
+func TestLargeCallsAreNotTurnedAway(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prompt  int
+		waiting int
+		want    bool
+	}{
+		{"large and alone", 90_000, 0, true},
+		{"small behind a few", 6000, 4, true},
+		{"large behind too many", 90_000, 11, false},
+		{"small behind too many", 6000, 11, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDesk(1)
+			ask := func(id string, prompt int) desk.Kind {
+				a := call(id, prompt)
+				a.Gap, a.Target, a.Left = 500*time.Millisecond, time.Second, 8*time.Second
+				return d.Ask(start, a).Kind
+			}
+			stream := call("stream", 100)
+			stream.Gap = 500 * time.Millisecond
+			d.First(start, d.Ask(start, stream).Grant.Ticket)
+			for i := range tt.waiting {
+				ask(strconv.Itoa(i), 6000)
+			}
+			if got := ask("last", tt.prompt); (got != desk.Refused) != tt.want {
+				t.Errorf("decision %v, want it to be taken: %v", got, tt.want)
+			}
+		})
+	}
+}
