Let one function each tell a prompt's reading time and when placing begins

The same product of fresh tokens and cost stood in three places of the desk, and the later of a call's arrival and the start of placing in two. The story sorts its lines with the slices package like the rest. No change of behaviour: at arrival before placing begins the wait for it is added as before, and otherwise it is zero.

--- a/internal/desk/choose.go
+++ b/internal/desk/choose.go
@@ -241,11 +241,8 @@
 		}
 	}
 	coming := need < m.Load
-	since := a.arrived
-	if d.PlacesFrom.After(since) {
-		since = d.PlacesFrom
-		need += max(since.Sub(now), 0)
-	}
+	since := d.placesFor(a)
+	need += max(since.Sub(now), 0)
 	if d.PlacesFrom.IsZero() || need+answerOverhead > left || !coming && now.Sub(since) > orderTime {
 		return d.refuse(a, ReasonNoModel, need)
 	}
@@ -257,26 +254,30 @@
 	var sum time.Duration
 	for _, w := range d.waiting {
 		if w.Demand.Model == a.Demand.Model && w.Service == a.Service {
-			sum += time.Duration(w.Demand.Fresh()) * d.cost(w.Demand.Model)
+			sum += d.freshTime(&w.Demand)
 		}
 	}
 	return sum / time.Duration(max(holders, 1))
 }
 
+// placesFor returns since when, or from when on, models and adapters may be placed for the call.
+func (d *Desk) placesFor(a *ask) time.Time {
+	if d.PlacesFrom.After(a.arrived) {
+		return d.PlacesFrom
+	}
+	return a.arrived
+}
+
 // waitOrRefuse keeps a call that some engine holds the model for but no engine can take now, because its adapter cannot
 // be loaded. Until adapters are placed for this desk that cannot change.
 func (d *Desk) waitOrRefuse(now time.Time, a *ask, left time.Duration) Decision {
-	since := a.arrived
 	if rest := d.PlacesFrom.Sub(now); rest > 0 {
 		if rest+answerOverhead > a.patience(left) {
 			return d.refuse(a, ReasonOverload, rest)
 		}
 		return Decision{Kind: Waiting, Call: a.Call}
 	}
-	if d.PlacesFrom.After(since) {
-		since = d.PlacesFrom
-	}
-	if now.Sub(since) > share(holdShare, a.Target) || left < a.Left/2 {
+	if now.Sub(d.placesFor(a)) > share(holdShare, a.Target) || left < a.Left/2 {
 		return d.refuse(a, ReasonOverload, minRetryAfter)
 	}
 	return Decision{Kind: Waiting, Call: a.Call}
--- a/internal/desk/demand.go
+++ b/internal/desk/demand.go
@@ -36,7 +36,7 @@
 		d.demand[q.Demand.Model] = m
 	}
 	m.asked = true
-	work := time.Duration(q.Demand.Fresh())*d.cost(q.Demand.Model) + time.Duration(q.Demand.OutputTokens)*outputCost
+	work := d.freshTime(&q.Demand) + time.Duration(q.Demand.OutputTokens)*outputCost
 	m.work = m.decayed(now) + work.Seconds()/demandTime.Seconds()
 	m.at = now
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -214,7 +214,7 @@
 		d.count(now, &q)
 	}
 	a := newAsk(now, q)
-	a.least = time.Duration(q.Demand.Fresh())*d.cost(q.Demand.Model) + answerOverhead
+	a.least = d.freshTime(&q.Demand) + answerOverhead
 	got := d.decide(now, a)
 	if got.Kind == Waiting {
 		d.waiting = append(d.waiting, a)
@@ -357,6 +357,9 @@
 	return d.config.Services[service].Engine
 }
 
+// freshTime is how long an engine takes for the part of a prompt that other calls do not share.
+func (d *Desk) freshTime(q *site.Demand) time.Duration { return time.Duration(q.Fresh()) * d.cost(q.Model) }
+
 func (d *Desk) cost(model string) time.Duration {
 	if c := d.costs[model]; c > 0 {
 		return c
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -73,7 +72,7 @@
 
 // Write tells the call's lines, and those of its upstreams and of the hosts around them, in order of time.
 func (s *Story) Write(w io.Writer) error {
-	sort.SliceStable(s.lines, func(i, j int) bool { return s.lines[i].at.Before(s.lines[j].at) })
+	slices.SortStableFunc(s.lines, func(a, b line) int { return a.at.Compare(b.at) })
 	var first, last time.Time
 	var upstreams []string
 	finished := false
