--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -358,7 +358,9 @@
 }
 
 // freshTime is how long an engine takes for the part of a prompt that other calls do not share.
-func (d *Desk) freshTime(q *site.Demand) time.Duration { return time.Duration(q.Fresh()) * d.cost(q.Model) }
+func (d *Desk) freshTime(q *site.Demand) time.Duration {
+	return time.Duration(q.Fresh()) * d.cost(q.Model)
+}
 
 func (d *Desk) cost(model string) time.Duration {
 	if c := d.costs[model]; c > 0 {
