Evict last replicas of models that are hardly called

Cause: place.Planner never evicted the last replica of a model. A plan also scanned all models inside loops over engines and sorted them once per order: 542 ms at 320 engines, every 100 ms.

Plans look up models by name, keep the residents of each engine, take targets from a heap, and do not repeat a search that failed for a higher claim.

--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -13,31 +14,13 @@
 const (
 	// targetLoad is the highest load that one replica of a model should carry, as a share of the engine's time.
 	targetLoad = 0.1
-	// hysteresis is the factor by which the load per replica of a model must exceed what each remaining replica of the
-	// victim would carry. It applies twice if the latter reaches targetLoad.
-	hysteresis = 1.5
-	// waitingLoad is the offered load that each waiting call for a model without a replica counts as.
-	waitingLoad = 0.3
-	// loadRateShare is the share of the weight store's rate that is used. The rest is left for orders whose responses
-	// were lost and that may still be executed later.
-	loadRateShare = 0.95
-	// loadBurst is the number of loads from the weight store that may start at once.
-	loadBurst = 2.0
 	// idleLoad is the offered load below which a model counts as unused.
 	idleLoad = 0.01
-	// maxVictimLoad bounds an eviction for an unserved model: each remaining replica of the victim must carry less load
-	// than this afterwards.
-	maxVictimLoad = 0.6
-	// maxUnserved is how long a model may be unserved because the load of all possible victims exceeds maxVictimLoad.
-	maxUnserved = 5 * time.Second
 	// victimPenalty weighs the victim's load in the choice of an engine: a load of 1 counts as this much load time.
 	victimPenalty = 10 * time.Second
 	// joinGracePeriod is how long unused models without a replica are not loaded after an engine has joined. Live
 	// engines need about two seconds to register after their start or after an outage of the store.
 	joinGracePeriod = 2500 * time.Millisecond
-	// minResidency protects a new replica from eviction before its calls have arrived, unless it is evicted for an
-	// unserved model.
-	minResidency = 4 * time.Second
 )
 
 type (
@@ -65,8 +48,7 @@
 	Planner struct {
 		Spec *topo.EngineSpec
 
-		tokens        float64                  // loads from the weight store that may start now
-		filled        time.Time                // when tokens was last refilled
+		bucket        tokenBucket              // loads from the weight store that may start now
 		residentSince map[replicaKey]time.Time // when a replica was first seen
 		knownEngines  map[string]bool          // engines of the last plan
 		lastJoin      time.Time                // when a new engine was last seen
@@ -78,55 +60,71 @@
 
 	replicaKey struct{ engine, model string }
 
-	// eviction names the model to evict from an engine, or none, and the load that each of the remaining replicas of
-	// that model would then carry.
-	eviction struct {
-		victim     string
-		victimLoad float64
+	// round is the state of one plan.
+	round struct {
+		*Planner
+		now     time.Time
+		targets map[string]*target
+		sites   []*site            // engines that may get an order
+		cached  map[string][]*site // the engines among them that have a model's weights in memory or on disk, by model
+		failed  map[class]failure
 	}
 
-	// target is the planning state of one model.
-	target struct {
-		model    *topo.Model
-		replicas int     // loaded, loading, or with memory being freed for them
-		load     float64 // offered load in engine-seconds per second
-		unserved bool    // calls wait and there is no replica
-		// overdue: unserved for longer than maxUnserved; any model with another replica may then be evicted to make
-		// room, whatever its load.
-		overdue   bool
-		requested bool
+	// site is an engine that may get an order, with what the plan needs to know of it.
+	site struct {
+		*Engine
+		residents []resident
+		usedMB    float64 // memory of the resident models and of the adapters at most
+		ordered   bool    // the plan has an order for the engine
+	}
+
+	// resident is a replica on a site.
+	resident struct {
+		*target
+		age   time.Duration
+		calls int // open tickets
+	}
+
+	// failure is the search for an engine that failed for the first model of a class. It fails for every other model of
+	// that class with no higher claim and no less memory, except on engines that were not searched.
+	failure struct {
+		claim    float64
+		memoryMB float64
+		skipped  []*site // engines that hold the model of the failed search
 	}
 )
 
 // Plan returns at most one order for each engine.
 func (p *Planner) Plan(now time.Time, engines []Engine, demand map[string]sched.ModelDemand) []Order {
-	p.refillTokens(now)
+	p.bucket.refill(now, p.Spec.LoadsPerS)
 	p.trackEngines(now, engines)
 	p.trackReplicas(now, engines)
-	targets := p.targets(now, engines, demand)
+	p.clearReservations(engines)
+	r := &round{Planner: p, now: now, targets: p.newTargets(now, engines, demand), failed: make(map[class]failure)}
+	r.addSites(engines)
+	queue := make(targetQueue, 0, len(r.targets))
+	for _, t := range r.targets {
+		if r.wantsReplica(t) {
+			queue = append(queue, t)
+		}
+	}
+	heap.Init(&queue)
 	var out []Order
-	used := make(map[string]bool)
-	for range len(engines) {
-		slices.SortStableFunc(targets, func(a, b *target) int { return cmp.Compare(b.priority(), a.priority()) })
-		o, ok := p.nextOrder(now, engines, targets, used)
-		if !ok {
-			return out
+	for len(queue) > 0 {
+		t := queue[0]
+		o, ok := r.addReplica(t)
+		if ok {
+			out = append(out, o)
 		}
-		used[o.Engine] = true
-		out = append(out, o)
+		if ok && r.wantsReplica(t) {
+			heap.Fix(&queue, 0)
+			continue
+		}
+		heap.Pop(&queue)
 	}
 	return out
 }
 
-// refillTokens refills the token bucket that limits loads from the weight store.
-func (p *Planner) refillTokens(now time.Time) {
-	if p.filled.IsZero() {
-		p.filled, p.tokens = now, loadBurst
-	}
-	p.tokens = min(p.tokens+now.Sub(p.filled).Seconds()*p.Spec.LoadsPerS*loadRateShare, loadBurst)
-	p.filled = now
-}
-
 // trackEngines records when a new engine was last seen.
 func (p *Planner) trackEngines(now time.Time, engines []Engine) {
 	ids := make(map[string]bool, len(engines))
@@ -168,30 +166,6 @@
 	}
 }
 
-// targets returns the planning state of each model of the spec.
-func (p *Planner) targets(now time.Time, engines []Engine, demand map[string]sched.ModelDemand) []*target {
-	p.clearReservations(engines)
-	out := make([]*target, 0, len(p.Spec.Models))
-	for i := range p.Spec.Models {
-		m := &p.Spec.Models[i]
-		d := demand[m.Name]
-		t := &target{model: m, load: d.OfferedLoad, requested: d.Requested}
-		for j := range engines {
-			t.replicas += engines[j].replicas(m.Name)
-			if p.reservedFor[engines[j].ID] == m.Name {
-				t.replicas++
-			}
-		}
-		if t.replicas == 0 && d.Waiting > 0 {
-			t.unserved = true
-			t.load = max(t.load, waitingLoad*float64(d.Waiting))
-		}
-		t.overdue = p.unservedTooLong(now, t)
-		out = append(out, t)
-	}
-	return out
-}
-
 // clearReservations removes the reservations of engines that have finished their unload or are gone.
 func (p *Planner) clearReservations(engines []Engine) {
 	if p.reservedFor == nil {
@@ -204,153 +178,106 @@
 	maps.DeleteFunc(p.reservedFor, func(id, _ string) bool { return !unloading[id] })
 }
 
-// unservedTooLong reports whether calls wait for a model that has been unserved for longer than maxUnserved.
-func (p *Planner) unservedTooLong(now time.Time, t *target) bool {
-	if p.unservedSince == nil {
-		p.unservedSince = make(map[string]time.Time)
-	}
-	since, known := p.unservedSince[t.model.Name]
-	switch {
-	case t.replicas > 0:
-		delete(p.unservedSince, t.model.Name)
-	case t.unserved && !known:
-		p.unservedSince[t.model.Name] = now
-	}
-	return t.unserved && known && now.Sub(since) > maxUnserved
-}
-
-// replicas returns 1 if the engine holds or loads a replica of the model that is not being unloaded, and 0 otherwise.
-func (e *Engine) replicas(model string) int {
-	if e.Loading == model || slices.Contains(e.Resident, model) && e.Unloading != model {
-		return 1
-	}
-	return 0
-}
-
-// priority returns how urgently the model needs a further replica; the highest value comes first. Models with replicas
-// are ordered by their load per replica.
-func (t *target) priority() float64 {
-	const unservedFirst, noReplica, notRequested = 1000.0, 100.0, 0.001
-	switch {
-	case t.unserved:
-		return unservedFirst + t.load
-	case t.replicas == 0 && t.requested:
-		return noReplica
-	case t.replicas == 0:
-		return notRequested
-	}
-	return t.load / float64(t.replicas)
-}
-
-// nextOrder returns the order for the model of the highest priority that can get a further replica now.
-func (p *Planner) nextOrder(now time.Time, engines []Engine, targets []*target, used map[string]bool) (Order, bool) {
-	for _, t := range targets {
-		if t.replicas > 0 && t.priority() < targetLoad {
+// addSites collects the engines that may get an order.
+func (r *round) addSites(engines []Engine) {
+	adapterMB := r.adapterMemory()
+	r.cached = make(map[string][]*site)
+	for i := range engines {
+		e := &engines[i]
+		if e.Busy || e.Loading != "" || e.Unloading != "" {
 			continue
 		}
-		if t.replicas == 0 && !t.unserved && t.load < idleLoad && now.Sub(p.lastJoin) < joinGracePeriod {
-			// The model may be resident on an engine that has not registered yet.
-			continue
+		s := &site{Engine: e, usedMB: adapterMB, residents: make([]resident, 0, len(e.Resident))}
+		for _, name := range e.Resident {
+			if t := r.targets[name]; t != nil {
+				age := r.now.Sub(r.residentSince[replicaKey{e.ID, name}])
+				s.residents = append(s.residents, resident{t, age, e.Calls[name]})
+				s.usedMB += t.model.MemoryMB
+			}
 		}
-		if o, ok := p.addReplica(now, engines, targets, used, t); ok {
-			return o, true
+		r.sites = append(r.sites, s)
+		for _, name := range e.InRAM {
+			r.cached[name] = append(r.cached[name], s)
+		}
+		for _, name := range e.OnDisk {
+			if !slices.Contains(e.InRAM, name) {
+				r.cached[name] = append(r.cached[name], s)
+			}
 		}
 	}
-	return Order{}, false
+}
+
+// wantsReplica reports whether the model should get a further replica now.
+func (r *round) wantsReplica(t *target) bool {
+	if t.replicas > 0 {
+		return t.priority() >= targetLoad
+	}
+	// A model without demand may be resident on an engine that has not registered yet.
+	return t.unserved || t.load >= idleLoad || r.now.Sub(r.lastJoin) >= joinGracePeriod
 }
 
 // addReplica returns the order for a further replica of the model on the engine with the lowest cost: the sum of load
 // time, prefill backlog and weighted victim load. If the memory does not suffice, the order unloads a victim instead.
-func (p *Planner) addReplica(
-	now time.Time, engines []Engine, targets []*target, used map[string]bool, t *target,
-) (Order, bool) {
-	var best *Engine
-	var bestEviction eviction
-	var bestCost time.Duration
-	for i := range engines {
-		e := &engines[i]
-		if e.Busy || used[e.ID] || e.Loading != "" || e.Unloading != "" || slices.Contains(e.Resident, t.model.Name) {
-			continue
-		}
-		cost, fromStore := e.loadTime(t.model)
-		if fromStore && p.tokens < 1 {
-			continue
-		}
-		ev, ok := p.evictFor(now, e, targets, t)
-		if !ok {
-			continue
-		}
-		cost += e.Backlog + time.Duration(ev.victimLoad*float64(victimPenalty))
-		if best == nil || cost < bestCost {
-			best, bestEviction, bestCost = e, ev, cost
-		}
-	}
+func (r *round) addReplica(t *target) (Order, bool) {
+	best, ev := r.bestSite(t)
 	if best == nil {
 		return Order{}, false
 	}
-	if bestEviction.victim != "" {
-		best.Unloading = bestEviction.victim
-		targetFor(targets, bestEviction.victim).replicas--
+	best.ordered = true
+	t.replicas++
+	t.unserved = false
+	if v := ev.victim; v != nil {
+		v.replicas--
 		// Count the replica from the start of the unload; otherwise every engine would evict a model for it.
-		p.reservedFor[best.ID] = t.model.Name
-		t.replicas++
-		t.unserved, t.overdue = false, false
-		return Order{Engine: best.ID, Model: bestEviction.victim, Unload: true}, true
+		r.reservedFor[best.ID] = t.model.Name
+		return Order{Engine: best.ID, Model: v.model.Name, Unload: true}, true
 	}
 	if _, fromStore := best.loadTime(t.model); fromStore {
-		p.tokens--
+		r.bucket.take()
 	}
-	best.Loading = t.model.Name
-	t.replicas++
-	t.unserved = false
 	return Order{Engine: best.ID, Model: t.model.Name}, true
 }
 
-// evictFor returns the eviction that makes t fit on the engine, with the victim whose remaining replicas carry the
-// least load. It names no victim if the free memory suffices, and returns false if there is no possible victim.
-func (p *Planner) evictFor(now time.Time, e *Engine, targets []*target, t *target) (eviction, bool) {
-	usedMB := 0.0
-	for _, name := range e.Resident {
-		if m := p.Spec.Model(name); m != nil {
-			usedMB += m.MemoryMB
-		}
+// bestSite returns the engine with the lowest cost for a further replica of the model, or nil if there is none.
+func (r *round) bestSite(t *target) (best *site, bestEviction eviction) {
+	if !r.bucket.available() {
+		return r.cheapest(t, r.cached[t.model.Name])
+	}
+	f, failed := r.failed[t.class()]
+	if failed && t.claim() <= f.claim && t.model.MemoryMB >= f.memoryMB {
+		return r.cheapest(t, slices.Concat(r.cached[t.model.Name], f.skipped))
 	}
-	if usedMB+p.adapterMemory()+t.model.MemoryMB <= p.Spec.MemoryMB {
-		return eviction{}, true
+	best, bestEviction = r.cheapest(t, r.sites)
+	if best == nil {
+		f = failure{claim: t.claim(), memoryMB: t.model.MemoryMB}
+		for _, s := range r.sites {
+			if slices.Contains(s.Resident, t.model.Name) {
+				f.skipped = append(f.skipped, s)
+			}
+		}
+		r.failed[t.class()] = f
 	}
-	var best eviction
-	for _, name := range e.Resident {
-		v := targetFor(targets, name)
-		if v == nil || e.Calls[name] > 0 && !t.unserved {
+	return best, bestEviction
+}
+
+// cheapest returns the engine with the lowest cost among the given ones.
+func (r *round) cheapest(t *target, sites []*site) (best *site, bestEviction eviction) {
+	var bestCost time.Duration
+	for _, s := range sites {
+		if s.ordered || slices.Contains(s.Resident, t.model.Name) {
 			continue
 		}
-		if now.Sub(p.residentSince[replicaKey{e.ID, name}]) < minResidency && v.load > idleLoad && !t.unserved {
+		loadTime, _ := s.loadTime(t.model)
+		ev, ok := r.evictFor(s, t, loadTime)
+		if !ok {
 			continue
 		}
-		if load, ok := t.outranks(v); ok && (best.victim == "" || load < best.victimLoad) {
-			best = eviction{name, load}
+		cost := loadTime + s.Backlog + time.Duration(ev.victimLoad*float64(victimPenalty))
+		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
+			best, bestEviction, bestCost = s, ev, cost
 		}
 	}
-	return best, best.victim != ""
-}
-
-// outranks reports whether a replica of v may be evicted for one of t, and returns the load that each remaining replica
-// of v would carry. The last replica of a model is never evicted.
-func (t *target) outranks(v *target) (victimLoad float64, ok bool) {
-	if v.replicas < 2 {
-		return 0, false
-	}
-	after := v.load / float64(v.replicas-1)
-	switch {
-	case t.overdue:
-		return after, true
-	case t.unserved:
-		return after, after < maxVictimLoad
-	case t.replicas == 0:
-		return after, after < targetLoad
-	}
-	limit := t.priority() / hysteresis
-	return after, after < limit && after < targetLoad || after < limit/hysteresis
+	return best, bestEviction
 }
 
 // adapterMemory returns the memory in MB that an engine's adapters may take at most.
@@ -376,12 +303,21 @@
 	return m.LoadTime, true
 }
 
-// targetFor returns the planning state of the model, or nil if the spec does not list it.
-func targetFor(targets []*target, model string) *target {
-	for _, t := range targets {
-		if t.model.Name == model {
-			return t
-		}
-	}
-	return nil
+// targetQueue is a heap of targets with the most urgent one first.
+type targetQueue []*target
+
+func (q targetQueue) Len() int { return len(q) }
+
+func (q targetQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[j].priority(), q[i].priority()), cmp.Compare(q[i].index, q[j].index)) < 0
+}
+
+func (q targetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *targetQueue) Push(x any) { *q = append(*q, x.(*target)) }
+
+func (q *targetQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
 }
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// demand is the moving average of a model's offered load.
+// demand is the moving average of a model's offered load and of its call rate.
 type demand struct {
 	load      float64 // engine-seconds per second, at the time of the update
+	callRate  float64 // calls per second, at the time of the update
 	updated   time.Time
 	requested bool
 }
@@ -17,7 +18,10 @@
 func (s *Scheduler) Demand(now time.Time) map[string]ModelDemand {
 	out := make(map[string]ModelDemand, len(s.demand))
 	for name, m := range s.demand {
-		out[name] = ModelDemand{OfferedLoad: m.decayed(now), Requested: m.requested}
+		out[name] = ModelDemand{
+			OfferedLoad: m.load * m.decay(now, demandTimeConstant),
+			CallRate:    m.callRate * m.decay(now, callRateTimeConstant), Requested: m.requested,
+		}
 	}
 	for _, p := range s.waiting {
 		if p.loadingOn != "" {
@@ -39,11 +43,12 @@
 	}
 	m.requested = true
 	work := s.unsharedPrefill(&q.Spec) + time.Duration(q.Spec.OutputTokens)*outputTokenCost
-	m.load = m.decayed(now) + work.Seconds()/demandTimeConstant.Seconds()
+	m.load = m.load*m.decay(now, demandTimeConstant) + work.Seconds()/demandTimeConstant.Seconds()
+	m.callRate = m.callRate*m.decay(now, callRateTimeConstant) + 1/callRateTimeConstant.Seconds()
 	m.updated = now
 }
 
-// decayed returns the load at the time now, after exponential decay.
-func (m *demand) decayed(now time.Time) float64 {
-	return m.load * math.Exp(-now.Sub(m.updated).Seconds()/demandTimeConstant.Seconds())
+// decay returns the share of an average with the given time constant that is left at the time now.
+func (m *demand) decay(now time.Time, timeConstant time.Duration) float64 {
+	return math.Exp(-now.Sub(m.updated).Seconds() / timeConstant.Seconds())
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -77,6 +77,9 @@
 	notResidentTime = 400 * time.Millisecond
 	// demandTimeConstant is the time constant of the exponential average of demand.
 	demandTimeConstant = 2500 * time.Millisecond
+	// callRateTimeConstant is the time constant of the exponential average of the call rate, long enough to tell models
+	// that are called now and then from those that are not called any more.
+	callRateTimeConstant = 20 * time.Second
 	// outputTokenCost is the engine time of an output token whose decode step is shared with other calls.
 	outputTokenCost = 200 * time.Microsecond
 	// minRetryAfter and maxRetryAfter bound the retry time of a rejected call.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -100,6 +100,7 @@
 	// ModelDemand is the recent demand for a model, as input for placement.
 	ModelDemand struct {
 		OfferedLoad float64 // engine-seconds per second
+		CallRate    float64 // calls per second, over a longer time than OfferedLoad
 		Waiting     int     // queued calls, except those that wait for an adapter
 		Requested   bool    // at least one call has requested the model
 	}
