Index engines by model in the scheduler

Cause: each decision scanned all engines, each waiting call did so every 4 ms, and the streams of an engine were counted from its tickets.

Change: engines are found by model, streams and the prefill time of the queue are counted as they change, models are looked up by name. A load that no report confirms within three load times no longer makes calls wait for it.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -76,8 +76,8 @@
 	s.reserveEngines(now)
 	var best *candidate
 	replicas := 0
-	for _, e := range s.engines {
-		if e.Service != p.Service || !e.serves(now, p.Spec.Model) {
+	for _, e := range s.holders(p.modelKey()) {
+		if !e.serves(now, p.Spec.Model) {
 			continue
 		}
 		replicas++
@@ -238,13 +238,13 @@
 
 // waitForModel leaves a call queued while its model can still be loaded before the deadline, and rejects it otherwise.
 func (s *Scheduler) waitForModel(now time.Time, p *pending, left time.Duration) Decision {
-	m := s.engineSpec(p.Service).Model(p.Spec.Model)
+	m := s.models[p.modelKey()]
 	if m == nil {
 		return s.reject(p, ReasonUnknownModel, minRetryAfter)
 	}
 	wait := m.LoadTime
-	for _, e := range s.engines {
-		if since, ok := e.loading[m.Name]; ok && e.listed {
+	for _, e := range s.loaders(p.modelKey()) {
+		if since, ok := e.loading[m.Name]; ok && e.listed && now.Sub(since) < loadGivenUp*m.LoadTime {
 			wait = min(wait, max(m.LoadTime-now.Sub(since), 0))
 		}
 	}
@@ -259,13 +259,7 @@
 
 // queuedPrefill estimates the prefill time of the queued calls for the call's model, per replica.
 func (s *Scheduler) queuedPrefill(p *pending, replicas int) time.Duration {
-	var sum time.Duration
-	for _, other := range s.waiting {
-		if other.Spec.Model == p.Spec.Model && other.Service == p.Service {
-			sum += s.unsharedPrefill(&other.Spec)
-		}
-	}
-	return sum / time.Duration(max(replicas, 1))
+	return s.queued[p.modelKey()] / time.Duration(max(replicas, 1))
 }
 
 // placementFrom returns the time from which on models and adapters may be loaded for the call.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"time"
 
 	"github.com/figreel/figreel/internal/topo"
@@ -31,6 +32,8 @@
 	sequence            int64     // orders accepted since the start of the instance
 	reportedAt          time.Time // time of the last report
 	noAdapterLoadsUntil time.Time // until then no adapter loads are requested
+	// streamGaps counts the calls that are streaming events, by gap target; calls without one are left out.
+	streamGaps map[time.Duration]int
 }
 
 func newEngine(u *topo.Upstream, kvTokens int) *engine {
@@ -38,21 +41,27 @@
 		Upstream: *u, tickets: make(map[uint64]*ticket), cache: newCache(int(cacheShare * float64(kvTokens))),
 		adapters: make(map[topo.Adapter]*adapter), models: make(map[string]bool), draining: make(map[string]bool),
 		loading: make(map[string]time.Time), notResidentUntil: make(map[string]time.Time),
-		kvTotal: kvTokens, slowdown: 1,
+		kvTotal: kvTokens, slowdown: 1, streamGaps: make(map[time.Duration]int),
 	}
 }
 
-// setModels applies the resident models and adapters that the engine reports, and its adapter loads in progress.
-func (e *engine) setModels(now time.Time, list []topo.Resident, loading map[topo.Adapter]bool) {
-	e.models = make(map[string]bool, len(list))
+// setModels applies the resident models and adapters that the engine reports, and its adapter loads in progress. It
+// reports whether the resident or loading models have changed.
+func (e *engine) setModels(now time.Time, list []topo.Resident, loading map[topo.Adapter]bool) (changed bool) {
+	models := make(map[string]bool, len(list))
 	resident := make(map[topo.Adapter]bool)
 	for _, m := range list {
-		e.models[m.Name] = true
-		delete(e.loading, m.Name)
+		models[m.Name] = true
+		if _, ok := e.loading[m.Name]; ok {
+			delete(e.loading, m.Name)
+			changed = true
+		}
 		for _, a := range m.Adapters {
 			resident[topo.Adapter{Model: m.Name, Name: a}] = true
 		}
 	}
+	changed = changed || !maps.Equal(models, e.models)
+	e.models = models
 	for name := range e.draining {
 		if !e.models[name] {
 			delete(e.draining, name)
@@ -73,6 +82,7 @@
 			delete(e.adapters, k)
 		}
 	}
+	return changed
 }
 
 // prefillBacklog returns the estimated time until the prefill of all prompts sent has ended.
@@ -101,6 +111,8 @@
 		}
 		e.prefillUntil = now.Add(e.prefillBacklog(now) + t.prefill)
 		e.prefilling++
+	} else {
+		e.countStream(t, 1)
 	}
 	if t.request.Spec.Adapter != "" {
 		a := e.ensureAdapter(now, t.adapterKey())
@@ -126,21 +138,40 @@
 	if !t.firstEvent {
 		e.prefilling--
 		e.recomputeBacklog(now)
+	} else {
+		e.countStream(t, -1)
 	}
 	if a := e.adapters[t.adapterKey()]; a != nil {
 		a.calls = max(a.calls-1, 0)
 	}
 }
 
+// startStream records the first event of a call.
+func (e *engine) startStream(now time.Time, t *ticket) {
+	t.firstEvent = true
+	e.prefilling--
+	e.recomputeBacklog(now)
+	e.countStream(t, 1)
+}
+
+// countStream adds n to the number of streams with the call's gap target.
+func (e *engine) countStream(t *ticket, n int) {
+	gap := t.request.GapTarget
+	if gap <= 0 {
+		return
+	}
+	e.streamGaps[gap] += n
+	if e.streamGaps[gap] <= 0 {
+		delete(e.streamGaps, gap)
+	}
+}
+
 // streams returns the number of calls with a gap target that are streaming events, and the shortest of these targets.
 func (e *engine) streams() (n int, gap time.Duration) {
-	for _, t := range e.tickets {
-		if !t.firstEvent || t.request.GapTarget <= 0 {
-			continue
-		}
-		n++
-		if gap == 0 || t.request.GapTarget < gap {
-			gap = t.request.GapTarget
+	for g, count := range e.streamGaps {
+		n += count
+		if gap == 0 || g < gap {
+			gap = g
 		}
 	}
 	return n, gap
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -56,6 +56,8 @@
 	maxLateness = 1.6
 	// loadStartTimeout is how long a call waits for a load of its model to start.
 	loadStartTimeout = 2 * time.Second
+	// loadGivenUp is the number of load times after which a load that no report confirms does not count any more.
+	loadGivenUp = 3
 	// streamPenalty is added to the score of an engine for each stream that a long prompt would stall there.
 	streamPenalty = 100 * time.Millisecond
 	// reservedPenalty is added to the score of an engine reserved for long prompts, for all other calls.
@@ -96,9 +98,12 @@
 	FirstTicket uint64
 
 	config       *topo.Config
+	models       map[modelKey]*topo.Model
 	engines      map[string]*engine
 	tickets      map[uint64]*ticket
+	index        index
 	waiting      []*pending
+	queued       map[modelKey]time.Duration // prefill time of the queued calls
 	lastTicket   uint64
 	tokenCosts   map[string]time.Duration // prefill time per prompt token, by model
 	demand       map[string]*demand
@@ -109,7 +114,20 @@
 // SetConfig sets the active configuration.
 func (s *Scheduler) SetConfig(c *topo.Config) {
 	s.init()
+	if s.config == c {
+		return
+	}
 	s.config = c
+	s.models = make(map[modelKey]*topo.Model)
+	for name, service := range c.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for i := range service.Engine.Models {
+			m := &service.Engine.Models[i]
+			s.models[modelKey{name, m.Name}] = m
+		}
+	}
 }
 
 // SetUpstreams replaces the set of engines. An engine whose Boot has changed was restarted, so its state is reset.
@@ -128,9 +146,10 @@
 			e = newEngine(u, spec.KVTokens)
 			s.engines[u.ID] = e
 			e.setModels(now, u.Models, nil)
+			s.index.outdated = true
 		}
-		if e.Revision < u.Revision && now.Sub(e.reportedAt) > maxReportAge {
-			e.setModels(now, u.Models, nil)
+		if e.Revision < u.Revision && now.Sub(e.reportedAt) > maxReportAge && e.setModels(now, u.Models, nil) {
+			s.index.outdated = true
 		}
 		inRAM, onDisk := e.InRAM, e.OnDisk
 		e.Upstream = *u
@@ -142,6 +161,7 @@
 	for id, e := range s.engines {
 		if !e.listed && len(e.tickets) == 0 {
 			delete(s.engines, id)
+			s.index.outdated = true
 		}
 	}
 }
@@ -159,7 +179,9 @@
 	for _, k := range r.LoadingAdapters {
 		loading[k] = true
 	}
-	e.setModels(now, r.Models, loading)
+	if e.setModels(now, r.Models, loading) {
+		s.index.outdated = true
+	}
 	if r.KVTotal > 0 {
 		e.kvTotal = r.KVTotal
 	}
@@ -180,8 +202,10 @@
 		a.requested, a.readyAt = false, now.Add(adapterLoadTime)
 	case o.Unload:
 		delete(e.models, o.Model)
+		s.index.outdated = true
 	default:
 		e.loading[o.Model] = now
+		s.index.outdated = true
 	}
 }
 
@@ -218,25 +242,41 @@
 // Schedule decides on a call, or queues it until Step decides.
 func (s *Scheduler) Schedule(now time.Time, q Request) Decision {
 	s.init()
-	spec := s.engineSpec(q.Service)
-	if spec == nil || spec.Model(q.Spec.Model) == nil {
+	if s.models[q.modelKey()] == nil {
 		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
 	}
 	if len(q.Tried) == 0 {
 		s.addDemand(now, &q)
 	}
 	p := newPending(now, q)
-	p.minTTFT = s.unsharedPrefill(&q.Spec) + responseOverhead
+	p.prefill = s.unsharedPrefill(&q.Spec)
+	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
 	if dec.Kind == Waiting {
 		s.waiting = append(s.waiting, p)
+		s.queued[p.modelKey()] += p.prefill
 	}
 	return dec
 }
 
 // Cancel removes a call from the queue.
 func (s *Scheduler) Cancel(call string) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(p *pending) bool { return p.Call == call })
+	s.waiting = slices.DeleteFunc(s.waiting, func(p *pending) bool {
+		if p.Call != call {
+			return false
+		}
+		s.leaveQueue(p)
+		return true
+	})
+}
+
+// leaveQueue subtracts a call that is not queued any more from the prefill time of the queue.
+func (s *Scheduler) leaveQueue(p *pending) {
+	k := p.modelKey()
+	s.queued[k] -= p.prefill
+	if s.queued[k] <= 0 {
+		delete(s.queued, k)
+	}
 }
 
 // Step returns the decisions on queued calls that are due now.
@@ -253,6 +293,7 @@
 			queued = append(queued, p)
 			continue
 		}
+		s.leaveQueue(p)
 		out = append(out, dec)
 	}
 	clear(s.waiting[len(queued):])
@@ -290,10 +331,8 @@
 	if t == nil || t.firstEvent {
 		return
 	}
-	t.firstEvent = true
 	e := t.engine
-	e.prefilling--
-	e.recomputeBacklog(now)
+	e.startStream(now, t)
 	e.failures = 0
 	took := now.Sub(t.granted) - responseOverhead
 	if t.prefillTokens < costMinTokens || !t.noBacklog || took <= 0 {
@@ -359,6 +398,7 @@
 	s.tickets = make(map[uint64]*ticket)
 	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
+	s.queued = make(map[modelKey]time.Duration)
 	s.lastTicket = s.FirstTicket
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -133,6 +133,7 @@
 		deadline   time.Time
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
+		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
 	}
 )
 
@@ -140,6 +141,9 @@
 	return &pending{Request: q, prefixKeys: prefixKeys(&q.Spec), arrived: now, deadline: now.Add(q.Remaining)}
 }
 
+// modelKey returns the service and model that the call requests.
+func (q *Request) modelKey() modelKey { return modelKey{q.Service, q.Spec.Model} }
+
 // adapterKey returns the adapter that the call requests.
 func (q *Request) adapterKey() topo.Adapter {
 	return topo.Adapter{Model: q.Spec.Model, Name: q.Spec.Adapter}
