Take state from live watch sources and prefer larger machines

Cause: a starting host listed three prefixes and watched them until it knew a source; a source that was lost sent all its followers to the store; a single watch that the store ended counted as an outage. The leader and the watchers could be the smallest machines (0.192 cores, 20 Mbit/s).

Change: sources are chosen by processor time and failure domain, without the leader; hosts leave out sources that fail or are out of date, so the next ones take over; a host without a live source waits before it turns to the store. A response says whether its sender is current. Starting hosts ask their seeds. The leader campaign prefers larger machines and has a bounded delay.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -37,12 +39,17 @@
 	// rankDelay is the time per rank, counted from 1, that a host waits before it campaigns for a vacant leadership. A
 	// host with the previous leader's name does not wait, because it may send orders without a handover delay.
 	rankDelay = 150 * time.Millisecond
+	// maxRanked is how many hosts wait in line. For all others, unrankedSpread for each registered host, at most
+	// maxUnrankedSpread, is the range of their further delay.
+	maxRanked         = 6
+	unrankedSpread    = 10 * time.Millisecond
+	maxUnrankedSpread = 2 * time.Second
 	// retryDelay is the pause after a failed call to the store. It doubles with each further failure of a call for the
 	// lease, up to OutageRetryInterval.
 	retryDelay = 250 * time.Millisecond
-	// minOutageRetry is the least value of OutageRetryInterval; outageRetriesPerS is the number of calls of one kind that
-	// all hosts together make to an unreachable store in a second.
-	minOutageRetry    = 600 * time.Millisecond
+	// minOutageRetry is the least value of OutageRetryInterval; outageRetriesPerS is the number of calls of one kind
+	// that all hosts together make to an unreachable store in a second.
+	minOutageRetry    = 1200 * time.Millisecond
 	outageRetriesPerS = 100
 	// retryJitter is the share by which a pause is varied, so that hosts do not call together.
 	retryJitter = 0.2
@@ -70,6 +77,8 @@
 		Hosts func() int
 		// StoreReachable is called when a call for the lease has succeeded after a failure; nil does nothing.
 		StoreReachable func()
+		// StoreLost is called when a call for the lease has failed after a success; nil does nothing.
+		StoreLost func()
 		// Now returns the time since boot, including time in suspend; nil uses the system clock.
 		Now func() time.Duration
 
@@ -80,7 +89,7 @@
 		leaseEnd     time.Duration // boot time at which the lease expires
 		registered   bool
 		leaving      bool          // Leave was called
-		storeFailing bool          // the last grant or renewal of the lease failed
+		storeFailing bool          // the last call for the lease failed
 		failures     int           // consecutive failures of calls for the lease
 		retryAt      time.Duration // boot time before which no call for the lease is made
 		nonce        string        // identifies this host's leader records; new for each lease
@@ -204,7 +213,8 @@
 		hosts = e.Hosts()
 	}
 	e.mu.Lock()
-	recovered := err == nil && e.failures > 0
+	recovered, lost := err == nil && e.failures > 0, err != nil && e.failures == 0
+	e.storeFailing = err != nil
 	pause := time.Duration(0)
 	if err == nil {
 		e.failures, e.retryAt = 0, 0
@@ -217,6 +227,9 @@
 	if recovered && e.StoreReachable != nil {
 		e.StoreReachable()
 	}
+	if lost && e.StoreLost != nil {
+		e.StoreLost()
+	}
 	return pause
 }
 
@@ -413,9 +426,6 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	id, err := e.Store.Grant(ctx, leaseTime)
-	e.mu.Lock()
-	e.storeFailing = err != nil
-	e.mu.Unlock()
 	pause := e.leaseCalled(err)
 	if err != nil {
 		e.Log.Warn().Err(err).Msg("failed to obtain a lease from the store")
@@ -468,7 +478,6 @@
 	pause := e.leaseCalled(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.storeFailing = err != nil && !gone
 	switch {
 	case e.lease != lease:
 	case err == nil:
@@ -491,11 +500,30 @@
 	}
 	delay := time.Duration(0)
 	if e.lastLeader.Host != e.Self.Name {
-		delay = rankDelay * time.Duration(1+e.Rank(e.lastLeader.Host))
+		delay = e.rankedDelay(e.Rank(e.lastLeader.Host))
 	}
 	return e.vacantSince + delay - now, true
 }
 
+// rankedDelay returns how long the host with this rank waits before it campaigns. Hosts beyond the first maxRanked ones
+// do not wait in line, because many hosts may be lost at once, but for times that are spread evenly.
+func (e *Elector) rankedDelay(rank int) time.Duration {
+	if rank < maxRanked {
+		return rankDelay * time.Duration(1+rank)
+	}
+	hosts := 1
+	if e.Hosts != nil {
+		hosts = e.Hosts()
+	}
+	spread := min(unrankedSpread*time.Duration(hosts), maxUnrankedSpread)
+	return rankDelay*time.Duration(1+maxRanked) + time.Duration(e.campaignPlace()*float64(spread))
+}
+
+// campaignPlace returns this host's place among the hosts without a rank, from 0 to 1; it stays the same for a lease.
+func (e *Elector) campaignPlace() float64 {
+	return float64(xxhash.Sum64String(e.nonce)) / math.MaxUint64
+}
+
 // campaign tries to write the leader key and the leader record.
 func (e *Elector) campaign(ctx context.Context, lease int64) time.Duration {
 	e.mu.Lock()
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -28,11 +28,13 @@
 	// probeWait replaces maxWatchWait after a failed call. It is short so that a response soon shows that the store is
 	// reachable again.
 	probeWait = 50 * time.Millisecond
+	// maxFailures is the number of consecutive failed calls after which the store counts as unreachable.
+	maxFailures = 2
 	// initialBackoff is the backoff after a failed call to the store.
 	initialBackoff = 100 * time.Millisecond
 	// batchDelay is the pause after a watch call that returned changes of upstreams or hosts. The next call then
 	// returns several changes at once, which saves calls: the platform charges for each.
-	batchDelay = 200 * time.Millisecond
+	batchDelay = 400 * time.Millisecond
 	// roleInterval is the interval at which a host checks whether it watches the store itself and which sources it
 	// follows.
 	roleInterval = 100 * time.Millisecond
@@ -72,7 +74,8 @@
 	deletions      []store.Event        // the newest deletions, oldest first
 	deletionsSince int64                // revision since which deletions is complete
 	revision       int64                // store revision as of which items is complete
-	unreachable    bool                 // the last call for this prefix failed
+	failures       int                  // consecutive failed calls for this prefix
+	unreachable    bool                 // the last calls for this prefix failed
 }
 
 func newStoreCache(p *Platform, s *elect.Elector, st *stats.Set, log zerolog.Logger) *storeCache {
@@ -93,24 +96,24 @@
 	return []string{sc.platform.ConfigPrefix, sc.platform.UpstreamPrefix, elect.Prefix}
 }
 
-// run lists one prefix and then watches it, until ctx ends. While watchesStore returns false it does not watch, because
-// other hosts send the changes.
+// run lists one prefix and then watches it, until ctx ends. While watchesStore returns false it does neither, because
+// other hosts send the state and its changes.
 func (sc *storeCache) run(ctx context.Context, prefix string, watchesStore func() bool) {
 	pause := initialBackoff
-	listed := false
+	compacted := false
 	for ctx.Err() == nil {
-		if listed && !watchesStore() {
+		if !watchesStore() {
 			clock.Sleep(ctx, roleInterval)
 			continue
 		}
 		var err error
-		if listed {
+		if !compacted && sc.isKnown(prefix) {
 			err = sc.watch(ctx, prefix)
 		} else {
 			err = sc.list(ctx, prefix)
 		}
 		if err == nil {
-			listed, pause = true, initialBackoff
+			compacted, pause = false, initialBackoff
 			continue
 		}
 		if ctx.Err() != nil {
@@ -118,10 +121,10 @@
 		}
 		if errors.Is(err, store.ErrCompacted) {
 			sc.log.Info().Str("prefix", prefix).Msg("store history compacted, listing all items")
-			listed = false
+			compacted = true
 			continue
 		}
-		sc.markUnreachable(prefix, err)
+		sc.markFailed(prefix, err)
 		sc.backOff(ctx, prefix, pause)
 		pause = min(2*pause, sc.maxBackoff())
 	}
@@ -174,6 +177,13 @@
 	sc.retryNow = make(chan struct{})
 }
 
+// isKnown reports whether the cache holds the state of a prefix.
+func (sc *storeCache) isKnown(prefix string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.states[prefix].revision > 0
+}
+
 func (sc *storeCache) list(ctx context.Context, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -189,7 +199,7 @@
 func (sc *storeCache) watch(ctx context.Context, prefix string) error {
 	sc.mu.Lock()
 	after, wait := sc.states[prefix].revision, maxWatchWait
-	if sc.states[prefix].unreachable {
+	if sc.states[prefix].failures > 0 {
 		wait = probeWait
 	}
 	sc.mu.Unlock()
@@ -205,22 +215,30 @@
 	return nil
 }
 
-func (sc *storeCache) markUnreachable(prefix string, err error) {
+// markFailed records a failed call. The store may end a call that waits, so only a second failure in a row means that
+// it is unreachable.
+func (sc *storeCache) markFailed(prefix string, err error) {
 	sc.mu.Lock()
 	p := sc.states[prefix]
-	first := !p.unreachable
-	p.unreachable = true
+	p.failures++
+	lost := p.failures == maxFailures
+	if lost {
+		p.unreachable = true
+		sc.notify()
+	}
 	sc.mu.Unlock()
-	if first {
+	if lost {
 		sc.log.Warn().Err(err).Str("prefix", prefix).Msg("store unreachable")
+		return
 	}
+	sc.log.Debug().Err(err).Str("prefix", prefix).Msg("store call failed")
 }
 
 func (sc *storeCache) markReachable(prefix string) {
 	sc.mu.Lock()
 	p := sc.states[prefix]
 	was := p.unreachable
-	p.unreachable = false
+	p.unreachable, p.failures = false, 0
 	if was {
 		sc.storeBackAt = time.Now()
 	}
@@ -356,6 +374,13 @@
 	sc.nextChange = make(chan struct{})
 }
 
+// wakeWaiting wakes the goroutines that wait for the next change, because the store has become unreachable.
+func (sc *storeCache) wakeWaiting() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.notify()
+}
+
 // remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store was unreachable
 // until a moment ago.
 func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64) {
@@ -478,14 +503,14 @@
 }
 
 // knownRevisions returns the cached revisions of the prefixes whose changes other hosts should send. The prefix of the
-// configuration is included only while the store is unreachable or before the first list, because every host watches
-// it.
+// configuration is included only while the store is unreachable, because every host watches it: it is too large to be
+// sent to a whole fleet by a few hosts.
 func (sc *storeCache) knownRevisions() []link.PrefixState {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	out := make([]link.PrefixState, 0, len(sc.states))
 	for _, p := range sc.states {
-		if p.prefix != sc.platform.ConfigPrefix || p.unreachable || p.revision == 0 {
+		if p.prefix != sc.platform.ConfigPrefix || p.unreachable {
 			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.revision})
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -91,7 +91,9 @@
 
 func (h *Host) build(ctx context.Context) {
 	s := &h.Settings
-	self := topo.Host{Name: s.Name, Front: s.Front, Link: s.Link, Domain: s.Domain, Ready: true}
+	self := topo.Host{
+		Name: s.Name, Front: s.Front, Link: s.Link, Domain: s.Domain, Ready: true, Cores: s.Cores,
+	}
 	h.elector = &elect.Elector{
 		Self: self, Store: h.Platform.Store, Log: h.Log, HandoverDelay: s.HandoverDelay,
 		Rank: h.rank, RequestStepDown: h.requestStepDown, LeadershipChanged: h.leadershipChanged,
@@ -105,6 +107,8 @@
 		self: self, cache: h.cache, elector: h.elector, seeds: s.Seeds, stats: h.Stats, log: h.Log,
 		now: clock.SinceBoot,
 	}
+	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds()}
+	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.OutageConfirmed = h.relay.outageConfirmed
 	h.reconciler = &reconciler{
 		self: s.Name, elector: h.elector, cache: h.cache, tickets: h.tickets, engines: h.Platform.Engines,
@@ -191,19 +195,22 @@
 
 func (h *Host) rank(previous string) int { return rankOf(h.cache.Hosts(), h.Settings.Name, previous) }
 
-// rankOf returns the position of a host in the order in which hosts campaign for the leader lease. The host that
-// registered last comes first: in a rolling restart it has been restarted already and will not stop soon. The previous
-// leader is left out.
+// rankOf returns the position of a host in the order in which hosts campaign for the leader lease. Hosts with more
+// processor time come first, and among them the host that registered last: in a rolling restart it has been restarted
+// already and will not stop soon. The previous leader is left out.
 func rankOf(hosts []topo.Host, self, previous string) int {
-	var own int64
+	var own topo.Host
 	for _, o := range hosts {
 		if o.Name == self {
-			own = o.Registered
+			own = o
 		}
 	}
 	n := 0
 	for _, o := range hosts {
-		if o.Name != self && o.Name != previous && o.Registered > own {
+		if o.Name == self || o.Name == previous {
+			continue
+		}
+		if o.Cores > own.Cores || o.Cores == own.Cores && o.Registered > own.Registered {
 			n++
 		}
 	}
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -19,31 +18,35 @@
 )
 
 const (
-	// maxWatchers is how many hosts watch the store for all others, in different failure domains where possible.
-	maxWatchers = 2
-	// maxChangesWait is how long a host holds a request for changes while there are none (long poll).
-	maxChangesWait = 2 * time.Second
+	// maxChangesWait is how long a host holds a request for changes while there are none (long poll). With
+	// responseMargin it bounds how long a source that has gone silent counts as live.
+	maxChangesWait = time.Second
 	// responseMargin is how much longer than the requested wait the response may take.
 	responseMargin = 400 * time.Millisecond
 	// sourceRetryDelay is the delay before a failed watch source is tried again.
 	sourceRetryDelay = 250 * time.Millisecond
+	// sourceGrace is how long a source may be out of date before another host is followed instead.
+	sourceGrace = 400 * time.Millisecond
 	// probedHosts is how many hosts are asked whether the store is unreachable for them too. More than half of them and
 	// at least minConfirmations (or all, if there are fewer hosts) must confirm it; the result is valid for outageTTL.
 	probedHosts      = 4
 	minConfirmations = 2
 	outageTTL        = time.Second
-	// minLostReports is the number of consecutive responses of hosts that cannot reach the store that show an outage for
-	// all hosts rather than one for some.
+	// minLostReports is the number of consecutive responses of hosts that cannot reach the store that show an outage
+	// for all hosts rather than one for some.
 	minLostReports = 3
 	// outageFetchInterval is the interval at which this host asks another one for changes while it cannot reach the
 	// store.
 	outageFetchInterval = 300 * time.Millisecond
 )
 
-var errSourceLostStore = errors.New("the watch source cannot reach the store")
+var (
+	errSourceLostStore = errors.New("the watch source cannot reach the store")
+	errSourceStale     = errors.New("the watch source neither watches the store nor follows a host that does")
+)
 
 // watchRelay distributes changes of the store among the hosts: a few hosts watch the store, and all others fetch the
-// changes from them (their watch sources). A host without a source that reaches the store watches the store itself.
+// changes from them (their watch sources). A host without a live source watches the store itself after a while.
 type watchRelay struct {
 	self    topo.Host
 	cache   *storeCache
@@ -56,9 +59,9 @@
 	now func() time.Duration
 
 	mu                sync.Mutex
-	liveSources       map[string]bool // sources that respond and reach the store, by address
-	lostReports       int             // consecutive responses of hosts that cannot reach the store
-	outageConfirmedAt time.Duration   // boot time of the last probe that confirmed an outage, 0 before
+	sources           sourceSet
+	lostReports       int           // consecutive responses of hosts that cannot reach the store
+	outageConfirmedAt time.Duration // boot time of the last probe that confirmed an outage, 0 before
 }
 
 // storeUnreachable reports whether this host's last store call for any prefix or for its lease failed.
@@ -126,57 +129,39 @@
 
 // watchesStore reports whether this host watches the store itself.
 func (r *watchRelay) watchesStore() bool {
-	if _, isWatcher := r.sources(); isWatcher {
-		return true
-	}
+	hosts := r.cache.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.liveSources) == 0
+	return r.sources.watchesStore(time.Now(), hosts)
 }
 
-// sources returns the watch sources of this host, and whether this host is one of those that watch the store for all.
-func (r *watchRelay) sources() ([]topo.Host, bool) {
+// isCurrent reports whether this host's copy of the store is current, so that other hosts may rely on it.
+func (r *watchRelay) isCurrent() bool {
 	hosts := r.cache.Hosts()
-	slices.SortFunc(hosts, func(a, b topo.Host) int {
-		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Name, b.Name))
-	})
-	isWatcher := false
-	out := make([]topo.Host, 0, maxWatchers)
-	for _, o := range watchersOf(hosts) {
-		if o.Name == r.self.Name {
-			isWatcher = true
-			continue
-		}
-		out = append(out, o)
-	}
-	return out, isWatcher
-}
-
-// watchersOf returns the at most maxWatchers hosts that watch the store, from a list sorted by failure domain and name.
-// It takes the first host of each domain, and if there are too few domains also other hosts in the order of the list.
-func watchersOf(hosts []topo.Host) []topo.Host {
-	var out, rest []topo.Host
-	for i, o := range hosts {
-		if i > 0 && hosts[i-1].Domain == o.Domain {
-			rest = append(rest, o)
-			continue
-		}
-		out = append(out, o)
-	}
-	out = append(out, rest...)
-	return out[:min(len(out), maxWatchers)]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, isWatcher := r.sources.choose(hosts)
+	return isWatcher || r.sources.hasLive()
 }
 
 // run follows the current watch sources until ctx ends. While this host cannot reach the store, it also asks other
 // hosts for changes, and as the leader whether they can reach the store.
 func (r *watchRelay) run(ctx context.Context) {
-	r.liveSources = make(map[string]bool)
 	following := make(map[string]context.CancelFunc)
 	lastFetch := time.Time{}
 	fetches := 0
 	for clock.Sleep(ctx, roleInterval) {
 		r.cache.expireGrace(time.Now())
-		list, _ := r.sources()
+		hosts := r.cache.Hosts()
+		leader, _ := r.elector.Leader()
+		r.mu.Lock()
+		r.sources.Leader = leader.Host
+		list, _ := r.sources.choose(hosts)
+		probes := r.sources.dueProbes(time.Now(), hosts)
+		r.mu.Unlock()
+		for _, o := range probes {
+			go r.probeSource(ctx, o)
+		}
 		wanted := make(map[string]bool, len(list))
 		for _, o := range list {
 			wanted[o.Link] = true
@@ -192,12 +177,16 @@
 				delete(following, addr)
 			}
 		}
-		if !r.storeUnreachable() || time.Since(lastFetch) < outageFetchInterval {
+		starting := len(hosts) == 0
+		if !starting && (!r.storeUnreachable() || time.Since(lastFetch) < outageFetchInterval) {
 			continue
 		}
 		lastFetch = time.Now()
 		fetches++
 		go r.fetchFromAny(ctx, fetches)
+		if starting {
+			continue
+		}
 		if r.elector.IsLeader() {
 			go r.probeOutage(ctx)
 		}
@@ -212,33 +201,58 @@
 		r.setLive(o, false)
 		if ctx.Err() == nil {
 			r.log.Info().Err(err).Str("source", o.Name).Msg("connection to watch source ended")
+			r.mu.Lock()
+			r.sources.fail(o.Link)
+			r.mu.Unlock()
 		}
 		clock.Sleep(ctx, sourceRetryDelay)
 	}
 }
 
+// probeSource asks a failed source for changes; it may be followed again if it answers and is current.
+func (r *watchRelay) probeSource(ctx context.Context, o topo.Host) {
+	if err := r.fetchOnce(ctx, o.Link); err != nil {
+		return
+	}
+	r.log.Info().Str("source", o.Name).Msg("watch source works again")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sources.restore(o.Link)
+}
+
+// followConn merges the changes that one connection to a watch source brings. It ends when the connection fails, or
+// when the source has been out of date for sourceGrace although this host reaches the store.
 func (r *watchRelay) followConn(ctx context.Context, o topo.Host) error {
 	c, err := link.Dial(ctx, o.Link)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
+	var outdatedSince time.Time
 	for ctx.Err() == nil {
 		if err := r.fetchChanges(ctx, c, maxChangesWait); err != nil {
-			if errors.Is(err, errSourceLostStore) {
-				r.setLive(o, false)
-				clock.Sleep(ctx, sourceRetryDelay)
-				continue
+			if !errors.Is(err, errSourceLostStore) && !errors.Is(err, errSourceStale) {
+				return err
+			}
+			r.setLive(o, false)
+			if outdatedSince.IsZero() {
+				outdatedSince = time.Now()
 			}
-			return err
+			// In an outage for all hosts no other source is better.
+			if time.Since(outdatedSince) > sourceGrace && !r.storeUnreachable() {
+				return err
+			}
+			clock.Sleep(ctx, roleInterval)
+			continue
 		}
+		outdatedSince = time.Time{}
 		r.setLive(o, true)
 	}
 	return ctx.Err()
 }
 
 // fetchChanges sends one request for changes and merges the response. It returns errSourceLostStore if the other host
-// cannot reach the store.
+// cannot reach the store, and errSourceStale if its copy of the store may be outdated.
 func (r *watchRelay) fetchChanges(ctx context.Context, c *link.Conn, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
@@ -253,11 +267,14 @@
 	if m.StoreUnreachable {
 		return errSourceLostStore
 	}
+	if m.Stale {
+		return errSourceStale
+	}
 	return nil
 }
 
-// noteStore records whether another host reaches the store. The first that does after several that did not shows that an
-// outage has ended, so this host tries the store at once too.
+// noteStore records whether another host reaches the store. The first that does after several that did not shows that
+// an outage has ended, so this host tries the store at once too.
 func (r *watchRelay) noteStore(unreachable bool) {
 	r.mu.Lock()
 	outageEnded := !unreachable && r.lostReports >= minLostReports
@@ -275,11 +292,7 @@
 func (r *watchRelay) setLive(o topo.Host, live bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if live {
-		r.liveSources[o.Link] = true
-		return
-	}
-	delete(r.liveSources, o.Link)
+	r.sources.setLive(time.Now(), o.Link, live)
 }
 
 // fetchFromAny fetches changes from one of the seeds and other hosts, chosen by n modulo their number, so that calls
@@ -316,6 +329,7 @@
 	for m.Kind == link.GetChanges {
 		response := &link.Message{
 			Kind: link.Changes, Prefixes: r.waitForChanges(m), StoreUnreachable: r.storeUnreachable(),
+			Stale: !r.isCurrent(),
 		}
 		if err := c.Send(response); err != nil {
 			return
@@ -327,13 +341,14 @@
 	}
 }
 
-// waitForChanges returns the changes that the request asks for, or nil if there are none within its wait.
+// waitForChanges returns the changes that the request asks for, or nil if there are none within its wait or as soon as
+// this host's copy of the store may be outdated.
 func (r *watchRelay) waitForChanges(m *link.Message) []link.PrefixState {
 	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, maxChangesWait))
 	defer timer.Stop()
 	for {
 		states, changed := r.cache.changes(m.Prefixes)
-		if len(states) > 0 {
+		if len(states) > 0 || r.storeUnreachable() || !r.isCurrent() {
 			return states
 		}
 		select {
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/figreel/figreel/internal/entry"
@@ -27,6 +28,7 @@
 		RetrySlack    float64       // retries allowed in each window on top of the ratio
 		HandoverDelay time.Duration // minimum time between orders of two different leaders
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
+		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
 	}
 
 	// Platform gives access to the platform and decodes its data; all fields are set before use.
@@ -60,3 +62,7 @@
 		Order(ctx context.Context, u *topo.Upstream, o *topo.Order) (topo.OrderResult, error)
 	}
 )
+
+// waitsForSeeds reports whether the host asks its seeds for the state of the store when it starts. A seed does not: it
+// must know the state when the others ask.
+func (s *Settings) waitsForSeeds() bool { return len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.Link) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,8 @@
 		WaitMS         int64              `cbor:"12,keyasint,omitempty"`
 		// StoreUnreachable is set if the sender itself cannot reach the store.
 		StoreUnreachable bool `cbor:"13,keyasint,omitempty"`
+		// Stale is set if the sender neither watches the store nor follows a host that does.
+		Stale bool `cbor:"14,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
--- a/internal/topo/types.go
+++ b/internal/topo/types.go
@@ -111,6 +111,8 @@
 		Link   string `cbor:"3,keyasint"` // address for other hosts
 		Domain string `cbor:"4,keyasint"`
 		Ready  bool   `cbor:"5,keyasint"`
+		// Cores is the processor time that the host may use, in cores; 0 if it is unknown.
+		Cores float64 `cbor:"6,keyasint,omitempty" json:",omitempty"`
 		// Registered is the store revision of the registration; a higher one is newer.
 		Registered int64 `cbor:"-" json:"-"`
 	}
