Sort the registered hosts only when they change

Change: a source set keeps the order of the hosts and its choice until they change; the changes that most hosts ask for are collected once.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -61,6 +61,7 @@
 	states      map[string]*prefixState
 	upstreams   map[string]*topo.Upstream
 	hosts       map[string]topo.Host
+	hostsChange int           // number of changes of hosts
 	storeBackAt time.Time     // when the store was last reachable again after an outage
 	nextChange  chan struct{} // closed at the next change
 	retryNow    chan struct{} // closed when calls to the store should be tried again at once
@@ -74,6 +75,8 @@
 	deletions      []store.Event        // the newest deletions, oldest first
 	deletionsSince int64                // revision since which deletions is complete
 	revision       int64                // store revision as of which items is complete
+	sent           link.PrefixState     // the changes that were last sent to another host
+	sentSince      int64                // revision since which they are
 	failures       int                  // consecutive failed calls for this prefix
 	unreachable    bool                 // the last calls for this prefix failed
 }
@@ -365,6 +368,7 @@
 		}
 		h.Registered = it.Revision
 		sc.hosts[key] = h
+		sc.hostsChange++
 	}
 }
 
@@ -402,7 +406,17 @@
 		sc.log.Info().Str("upstream", u.ID).Msg("upstream removed")
 		delete(sc.upstreams, key)
 	}
-	delete(sc.hosts, key)
+	if _, ok := sc.hosts[key]; ok {
+		delete(sc.hosts, key)
+		sc.hostsChange++
+	}
+}
+
+// hostChanges returns the number of changes of the registered hosts so far.
+func (sc *storeCache) hostChanges() int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.hostsChange
 }
 
 // expireGrace discards upstreams and hosts whose grace period is over.
@@ -468,27 +482,38 @@
 		if p == nil || p.revision <= k.Revision {
 			continue
 		}
-		l := link.PrefixState{
-			Prefix: p.prefix, Revision: p.revision, Delta: k.Revision >= p.deletionsSince && k.Revision > 0,
+		if p.sent.Revision != p.revision || p.sentSince != k.Revision {
+			// Most hosts ask for the same changes.
+			p.sent, p.sentSince = p.changesSince(k.Revision), k.Revision
 		}
-		for _, it := range p.items {
-			switch {
-			case !l.Delta:
-				l.Items = append(l.Items, it)
-			case it.Revision > k.Revision:
-				l.Events = append(l.Events, store.Event{Item: it})
-			}
+		out = append(out, p.sent)
+	}
+	return out, sc.nextChange
+}
+
+// changesSince returns the changes of the prefix since a revision, or all items if the deletions since then are not
+// known any more.
+func (p *prefixState) changesSince(revision int64) link.PrefixState {
+	l := link.PrefixState{
+		Prefix: p.prefix, Revision: p.revision, Delta: revision >= p.deletionsSince && revision > 0,
+	}
+	for _, it := range p.items {
+		switch {
+		case !l.Delta:
+			l.Items = append(l.Items, it)
+		case it.Revision > revision:
+			l.Events = append(l.Events, store.Event{Item: it})
 		}
-		if l.Delta {
-			for _, e := range p.deletions {
-				if _, back := p.items[e.Key]; e.Revision > k.Revision && !back {
-					l.Events = append(l.Events, e)
-				}
-			}
+	}
+	if !l.Delta {
+		return l
+	}
+	for _, e := range p.deletions {
+		if _, back := p.items[e.Key]; e.Revision > revision && !back {
+			l.Events = append(l.Events, e)
 		}
-		out = append(out, l)
 	}
-	return out, sc.nextChange
+	return l
 }
 
 // merge applies changes that another host has sent.
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -60,6 +60,7 @@
 
 	mu                sync.Mutex
 	sources           sourceSet
+	hostChanges       int           // changes of the registered hosts that sources has
 	lostReports       int           // consecutive responses of hosts that cannot reach the store
 	outageConfirmedAt time.Duration // boot time of the last probe that confirmed an outage, 0 before
 }
@@ -129,18 +130,26 @@
 
 // watchesStore reports whether this host watches the store itself.
 func (r *watchRelay) watchesStore() bool {
-	hosts := r.cache.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sources.watchesStore(time.Now(), hosts)
+	r.updateHosts()
+	return r.sources.watchesStore(time.Now())
+}
+
+// updateHosts passes the registered hosts to the sources if they have changed.
+func (r *watchRelay) updateHosts() {
+	if n := r.cache.hostChanges(); n != r.hostChanges {
+		r.hostChanges = n
+		r.sources.setHosts(r.cache.Hosts())
+	}
 }
 
 // isCurrent reports whether this host's copy of the store is current, so that other hosts may rely on it.
 func (r *watchRelay) isCurrent() bool {
-	hosts := r.cache.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, isWatcher := r.sources.choose(hosts)
+	r.updateHosts()
+	_, isWatcher := r.sources.choose()
 	return isWatcher || r.sources.hasLive()
 }
 
@@ -152,12 +161,13 @@
 	fetches := 0
 	for clock.Sleep(ctx, roleInterval) {
 		r.cache.expireGrace(time.Now())
-		hosts := r.cache.Hosts()
 		leader, _ := r.elector.Leader()
 		r.mu.Lock()
-		r.sources.Leader = leader.Host
-		list, _ := r.sources.choose(hosts)
-		probes := r.sources.dueProbes(time.Now(), hosts)
+		r.updateHosts()
+		r.sources.setLeader(leader.Host)
+		list, _ := r.sources.choose()
+		probes := r.sources.dueProbes(time.Now())
+		starting := len(r.sources.order) == 0
 		r.mu.Unlock()
 		for _, o := range probes {
 			go r.probeSource(ctx, o)
@@ -177,7 +187,6 @@
 				delete(following, addr)
 			}
 		}
-		starting := len(hosts) == 0
 		if !starting && (!r.storeUnreachable() || time.Since(lastFetch) < outageFetchInterval) {
 			continue
 		}
--- a/internal/host/source.go
+++ b/internal/host/source.go
@@ -28,9 +28,10 @@
 	Self string // name of this host
 	// WaitsAtStart delays this host's own calls to the store when it starts, while it asks its seeds.
 	WaitsAtStart bool
-	// Leader is the name of the leader, or empty.
-	Leader string
 
+	leader    string          // name of the leader, or empty
+	order     []topo.Host     // all hosts in the order in which they are chosen
+	chosen    []topo.Host     // the hosts that watch the store; nil if they must be chosen again
 	live      map[string]bool // sources that respond and are current, by address
 	failed    map[string]bool // hosts that failed as sources, by address
 	probedAt  time.Time
@@ -38,14 +39,22 @@
 	wait      time.Duration // how long this host waits for a live source from then on
 }
 
+// setHosts sets the registered hosts.
+func (s *sourceSet) setHosts(hosts []topo.Host) { s.order, s.chosen = watchOrder(hosts), nil }
+
+// setLeader sets the name of the leader, or an empty one.
+func (s *sourceSet) setLeader(name string) {
+	if s.leader != name {
+		s.leader, s.chosen = name, nil
+	}
+}
+
 // choose returns the watch sources of this host, and whether this host is one of those that watch the store for all.
-func (s *sourceSet) choose(hosts []topo.Host) (sources []topo.Host, isWatcher bool) {
-	usable := slices.DeleteFunc(watchOrder(hosts), func(o topo.Host) bool { return s.failed[o.Link] })
-	if len(usable) > maxWatchers {
-		// The leader answers all ticket requests; the changes for the fleet would delay its answers.
-		usable = slices.DeleteFunc(usable, func(o topo.Host) bool { return o.Name == s.Leader })
+func (s *sourceSet) choose() (sources []topo.Host, isWatcher bool) {
+	if s.chosen == nil {
+		s.chosen = s.watchers()
 	}
-	for _, o := range usable[:min(len(usable), maxWatchers)] {
+	for _, o := range s.chosen {
 		if o.Name == s.Self {
 			isWatcher = true
 			continue
@@ -55,16 +64,40 @@
 	return sources, isWatcher
 }
 
+// watchers returns the first hosts in the order that have not failed. The leader is left out while there are others: it
+// answers all ticket requests, and the changes for the fleet would delay its answers.
+func (s *sourceSet) watchers() []topo.Host {
+	out := make([]topo.Host, 0, maxWatchers+1)
+	var leader *topo.Host
+	for i := range s.order {
+		o := &s.order[i]
+		if len(out) == maxWatchers {
+			break
+		}
+		switch {
+		case s.failed[o.Link]:
+		case o.Name == s.leader:
+			leader = o
+		default:
+			out = append(out, *o)
+		}
+	}
+	if len(out) < maxWatchers && leader != nil {
+		out = append(out, *leader)
+	}
+	return out
+}
+
 // watchesStore reports whether this host watches the store itself.
-func (s *sourceSet) watchesStore(now time.Time, hosts []topo.Host) bool {
-	if _, isWatcher := s.choose(hosts); isWatcher {
+func (s *sourceSet) watchesStore(now time.Time) bool {
+	if _, isWatcher := s.choose(); isWatcher {
 		return true
 	}
 	if s.hasLive() {
 		return false
 	}
 	if s.noneSince.IsZero() {
-		s.startWait(now, len(hosts))
+		s.startWait(now, len(s.order))
 	}
 	return now.Sub(s.noneSince) >= s.wait
 }
@@ -101,18 +134,27 @@
 		s.failed = make(map[string]bool)
 	}
 	s.failed[addr] = true
+	s.chosen = nil
 }
 
 // restore allows a host as a source again.
-func (s *sourceSet) restore(addr string) { delete(s.failed, addr) }
+func (s *sourceSet) restore(addr string) {
+	delete(s.failed, addr)
+	s.chosen = nil
+}
 
 // dueProbes returns the failed hosts to probe now: those that would be chosen first. It forgets hosts that are gone.
-func (s *sourceSet) dueProbes(now time.Time, hosts []topo.Host) []topo.Host {
+func (s *sourceSet) dueProbes(now time.Time) []topo.Host {
 	if len(s.failed) == 0 || now.Sub(s.probedAt) < probeInterval {
 		return nil
 	}
 	s.probedAt = now
-	failed := slices.DeleteFunc(watchOrder(hosts), func(o topo.Host) bool { return !s.failed[o.Link] })
+	var failed []topo.Host
+	for _, o := range s.order {
+		if s.failed[o.Link] {
+			failed = append(failed, o)
+		}
+	}
 	clear(s.failed)
 	for _, o := range failed {
 		s.failed[o.Link] = true
