Use the load that upstreams state in their responses

Change: platform decodes the header once. The scheduler blends the stated slowdown into its estimate of prefill time with a weight that decays over 400 ms; the balancer of plain services adds a bounded penalty that decays over 250 ms. Malformed or impossible figures are counted and ignored.

Calls running and waiting are not used for engines: the leader knows its own calls more exactly.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -109,7 +109,7 @@
 	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{Engine: "e", Addr: f.engines[f.granted-1].addr}}, nil
 }
 
-func (f *fakeTickets) FirstEvent(sched.Grant) {}
+func (f *fakeTickets) FirstEvent(sched.Grant, *topo.Load) {}
 
 func (f *fakeTickets) Release(_ sched.Grant, outcome sched.Outcome) {
 	f.mu.Lock()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -152,7 +152,7 @@
 func (c *call) sendEvents(res *h1.Response, g sched.Grant, events []byte) {
 	if !c.firstEventSent {
 		c.firstEventSent = true
-		c.s.Tickets.FirstEvent(g)
+		c.s.Tickets.FirstEvent(g, c.s.load(res.Header))
 	}
 	now := time.Now()
 	if c.headerSent {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -25,6 +26,12 @@
 	// failurePenalty is added to the score for a failure rate of 1. An upstream in backoff gets twice as much and a
 	// leaving one four times as much.
 	failurePenalty = 6.0
+	// busyPenalty is added to the score for a stated load that takes all slots, and for each time as slow as usual;
+	// maxLoadPenalty bounds the sum. A stated load counts by its age with the time constant loadTimeConstant, because
+	// it changes many times a second.
+	busyPenalty      = 1.0
+	maxLoadPenalty   = 3.0
+	loadTimeConstant = 250 * time.Millisecond
 )
 
 type (
@@ -42,6 +49,8 @@
 		consecutiveFailures int
 		failureRate         float64 // moving average, 0 to 1
 		backoffUntil        time.Time
+		load                topo.Load // as stated in the newest response
+		loadAt              time.Time // when it arrived
 	}
 )
 
@@ -58,7 +67,7 @@
 			continue
 		}
 		st := b.stateOf(u.ID)
-		score := float64(st.inFlight) + failurePenalty*st.failureRate + rand.Float64()/2
+		score := float64(st.inFlight) + failurePenalty*st.failureRate + st.loadPenalty(now) + rand.Float64()/2
 		if u.Domain != b.Domain {
 			score += domainBias
 		}
@@ -94,6 +103,27 @@
 	st.backoffUntil = now.Add(min(initialBackoff<<min(st.consecutiveFailures-1, 8), maxBackoff))
 }
 
+// SetLoad records the load that an upstream stated in a response; nil records nothing.
+func (b *Balancer) SetLoad(now time.Time, id string, load *topo.Load) {
+	if load == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	st := b.stateOf(id)
+	st.load, st.loadAt = *load, now
+}
+
+// loadPenalty returns what the stated load of the upstream adds to its score.
+func (st *upstreamState) loadPenalty(now time.Time) float64 {
+	if st.load.Slots == 0 {
+		return 0
+	}
+	busy := float64(st.load.Running+st.load.Waiting) / float64(st.load.Slots)
+	penalty := busyPenalty * (busy + max(st.load.Slowdown-1, 0))
+	return min(penalty, maxLoadPenalty) * math.Exp(-now.Sub(st.loadAt).Seconds()/loadTimeConstant.Seconds())
+}
+
 func (b *Balancer) stateOf(id string) *upstreamState {
 	if b.state == nil {
 		b.state = make(map[string]*upstreamState)
@@ -146,6 +176,7 @@
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
 		return c.handleFailure()
 	}
+	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,7 @@
 // Server is the HTTP handler for calls; its exported fields are set before use.
 type Server struct {
 	Headers     Headers
+	ParseLoad   ParseLoad // nil if upstreams do not state their load
 	ParseSpec   ParseSpec
 	Domain      string // failure domain of this host
 	Config      func() *topo.Config
@@ -39,6 +40,20 @@
 	inFlight atomic.Int64
 }
 
+// load returns the load that an upstream states in its response, or nil. A malformed statement is counted and ignored.
+func (s *Server) load(h http.Header) *topo.Load {
+	if s.ParseLoad == nil {
+		return nil
+	}
+	load, err := s.ParseLoad(h)
+	if err != nil {
+		s.Stats.CountEvent("load_malformed")
+		s.Log.Debug().Err(err).Msg("stated load ignored")
+		return nil
+	}
+	return load
+}
+
 // call is the state of one call of a caller.
 type call struct {
 	s                *Server
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -50,7 +50,8 @@
 	// TicketClient requests tickets for calls to engines, reports the first event of a call, and releases the ticket.
 	TicketClient interface {
 		RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error)
-		FirstEvent(g sched.Grant)
+		// FirstEvent takes the load that the engine stated with the event, or nil.
+		FirstEvent(g sched.Grant, load *topo.Load)
 		Release(g sched.Grant, outcome sched.Outcome)
 	}
 
@@ -62,4 +63,7 @@
 
 	// ParseSpec parses the call spec from a call's headers.
 	ParseSpec func(http.Header) (topo.CallSpec, error)
+
+	// ParseLoad parses the load that an upstream states in a response; it returns nil if there is none.
+	ParseLoad func(http.Header) (*topo.Load, error)
 )
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -116,7 +116,8 @@
 	}
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
 	h.entry = &entry.Server{
-		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, Domain: s.Domain, Config: h.cache.Config,
+		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
+		Domain: s.Domain, Config: h.cache.Config,
 		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{Domain: s.Domain, Upstreams: h.cache.Upstreams},
 		RetryBudget: &retryBudget{
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -14,6 +14,7 @@
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/topo"
 )
 
 const (
@@ -82,16 +83,18 @@
 	return s.requestLocal(ctx, req)
 }
 
-// FirstEvent reports the first event of a response to the local scheduler and to that of the leader.
-func (s *ticketService) FirstEvent(g sched.Grant) {
+// FirstEvent reports the first event of a response, and the load that the engine stated with it or nil, to the local
+// scheduler and to that of the leader.
+func (s *ticketService) FirstEvent(g sched.Grant, load *topo.Load) {
 	s.mu.Lock()
 	if t := s.openTickets[g.Ticket]; t != nil {
 		t.FirstEvent = true
 	}
+	s.scheduler.SetLoad(time.Now(), g.Ticket, load)
 	s.scheduler.FirstEvent(time.Now(), g.Ticket)
 	leader := s.leaderConn
 	s.mu.Unlock()
-	s.send(leader, &link.Message{Kind: link.FirstEvent, Ticket: g.Ticket})
+	s.send(leader, &link.Message{Kind: link.FirstEvent, Ticket: g.Ticket, Load: load})
 }
 
 // Release returns a ticket to the local scheduler and to that of the leader.
@@ -411,6 +414,7 @@
 		s.mu.Unlock()
 	case link.FirstEvent:
 		s.mu.Lock()
+		s.scheduler.SetLoad(time.Now(), m.Ticket, m.Load)
 		s.scheduler.FirstEvent(time.Now(), m.Ticket)
 		s.mu.Unlock()
 	case link.Release:
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -43,6 +43,7 @@
 		Engines   EngineClient
 		Headers   entry.Headers
 		ParseSpec entry.ParseSpec
+		ParseLoad entry.ParseLoad
 		// Serve serves the readiness endpoint and the address directory until ctx ends.
 		Serve func(ctx context.Context, endpoints Endpoints) error
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,7 @@
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/topo"
 )
 
 // sendTimeout is the write timeout of one message, for peers that do not read.
@@ -63,6 +64,8 @@
 		StoreUnreachable bool `cbor:"13,keyasint,omitempty"`
 		// Stale is set if the sender neither watches the store nor follows a host that does.
 		Stale bool `cbor:"14,keyasint,omitempty"`
+		// Load is the load that the engine stated with the first event, or nil.
+		Load *topo.Load `cbor:"15,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -96,7 +96,7 @@
 func (s *Scheduler) evaluate(now time.Time, p *pending, e *engine) *candidate {
 	c := &candidate{engine: e}
 	var prefill time.Duration
-	c.prefillTokens, prefill = s.estimatePrefill(p, e)
+	c.prefillTokens, prefill = s.estimatePrefill(now, p, e)
 	c.ttft = e.prefillBacklog(now) + prefill + responseOverhead
 	if p.Spec.Adapter != "" {
 		delay, ok := s.adapterDelay(now, p, e, c)
@@ -220,7 +220,7 @@
 
 func (s *Scheduler) newTicket(now time.Time, e *engine, p *pending) *ticket {
 	s.lastTicket++
-	tokens, prefill := s.estimatePrefill(p, e)
+	tokens, prefill := s.estimatePrefill(now, p, e)
 	t := &ticket{
 		id: s.lastTicket, request: p.Request, engine: e, granted: now,
 		prefillTokens: tokens, kvTokens: tokens + p.Spec.OutputTokens, prefill: prefill,
@@ -231,9 +231,9 @@
 }
 
 // estimatePrefill returns the number of prompt tokens that the engine has not cached, and the time of their prefill.
-func (s *Scheduler) estimatePrefill(p *pending, e *engine) (tokens int, prefill time.Duration) {
+func (s *Scheduler) estimatePrefill(now time.Time, p *pending, e *engine) (tokens int, prefill time.Duration) {
 	tokens = p.Spec.PromptTokens - e.cache.cachedTokens(p.prefixKeys, p.Spec.Segments)
-	return tokens, time.Duration(float64(tokens) * float64(s.tokenCost(p.Spec.Model)) * e.slowdown)
+	return tokens, time.Duration(float64(tokens) * float64(s.tokenCost(p.Spec.Model)) * e.currentSlowdown(now))
 }
 
 // waitForModel leaves a call queued while its model can still be loaded before the deadline, and rejects it otherwise.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/figreel/figreel/internal/topo"
@@ -28,6 +29,8 @@
 	failures            int       // consecutive failures
 	reserved            bool      // reserved for long prompts
 	slowdown            float64   // moving average of the ratio of observed to expected prefill time
+	load                topo.Load // as stated in the newest response
+	loadAt              time.Time // when it arrived
 	listed              bool      // in the latest list of upstreams
 	sequence            int64     // orders accepted since the start of the instance
 	reportedAt          time.Time // time of the last report
@@ -177,6 +180,18 @@
 	return n, gap
 }
 
+// currentSlowdown returns the expected ratio of prefill time to its usual value. A stated slowdown counts for the more
+// the newer it is.
+func (e *engine) currentSlowdown(now time.Time) float64 {
+	age := now.Sub(e.loadAt)
+	if e.load.Slots == 0 || age > maxLoadAge {
+		return e.slowdown
+	}
+	weight := math.Exp(-age.Seconds() / loadTimeConstant.Seconds())
+	stated := min(max(e.load.Slowdown, 1/maxStatedSlowdown), maxStatedSlowdown)
+	return e.slowdown + weight*(stated-e.slowdown)
+}
+
 // stallTime returns how long the running streams would get no event if a prompt with this prefill time came next.
 func (e *engine) stallTime(now time.Time, prefill time.Duration) time.Duration {
 	if e.decoded(now) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,6 +20,12 @@
 	// bounds one measurement.
 	slowdownWeight = 0.2
 	maxSlowdown    = 8.0
+	// maxStatedSlowdown bounds the slowdown that an engine states, so that no engine is left out for it.
+	// loadTimeConstant is the time constant with which a stated load loses its weight: it changes many times a second.
+	// After maxLoadAge it has none.
+	maxStatedSlowdown = 4.0
+	loadTimeConstant  = 400 * time.Millisecond
+	maxLoadAge        = 5 * loadTimeConstant
 	// adapterLoadTime is the expected time to order and load an adapter.
 	adapterLoadTime = 14 * time.Millisecond
 	// orderBackoff is how long no adapter load is requested on an engine after one has failed there.
@@ -325,6 +331,13 @@
 	e.addTicket(now, t)
 }
 
+// SetLoad records the load that the engine of a ticket stated in its response; nil records nothing.
+func (s *Scheduler) SetLoad(now time.Time, id uint64, load *topo.Load) {
+	if t := s.tickets[id]; t != nil && load != nil {
+		t.engine.load, t.engine.loadAt = *load, now
+	}
+}
+
 // FirstEvent records the first event of a call's response and updates the estimates of prefill time.
 func (s *Scheduler) FirstEvent(now time.Time, id uint64) {
 	t := s.tickets[id]
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -32,6 +32,14 @@
 		OnDisk          []string  // models whose weights are on the machine's disk
 	}
 
+	// Load is what an upstream states about its load in a response.
+	Load struct {
+		Running  int     `cbor:"1,keyasint"`           // calls that it executes
+		Waiting  int     `cbor:"2,keyasint,omitempty"` // calls that wait for a slot
+		Slots    int     `cbor:"3,keyasint"`           // calls that it executes at once
+		Slowdown float64 `cbor:"4,keyasint"`           // how long work takes now; 1 is usual
+	}
+
 	// Adapter names an adapter of a model.
 	Adapter struct{ Model, Name string }
 
