--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -303,9 +303,7 @@
 }
 
 func (r *reconciler) adapterFailed(load sched.AdapterLoad) {
-	r.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) {
-		k.AdapterFailed(now, load.Engine, load.Model, load.Adapter)
-	})
+	r.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) { k.AdapterFailed(now, load) })
 }
 
 // send sends one order. It carries the number of orders that the engine has accepted so far, so that the engine rejects
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -252,10 +252,14 @@
 	s.mu.Lock()
 	s.remoteReplies[req.Call] = reply
 	s.mu.Unlock()
+	returned := false
 	defer func() {
 		s.mu.Lock()
 		delete(s.remoteReplies, req.Call)
 		s.mu.Unlock()
+		if !returned {
+			s.releaseUnread(leader, reply)
+		}
 	}()
 	if leader.Send(&link.Message{Kind: link.TicketRequest, Call: req.Call, Request: &req}) != nil {
 		return sched.Decision{}, false, nil
@@ -273,6 +277,7 @@
 				continue
 			}
 			s.restore(req, decision)
+			returned = true
 			return decision, true, nil
 		case <-timer.C:
 			s.mu.Lock()
@@ -288,6 +293,25 @@
 	}
 }
 
+// releaseUnread returns a ticket whose grant arrived after its call had stopped waiting for it.
+func (s *ticketService) releaseUnread(leader *link.Conn, reply <-chan sched.Decision) {
+	for {
+		select {
+		case decision, open := <-reply:
+			if !open {
+				return
+			}
+			if decision.Kind == sched.Granted {
+				s.send(leader, &link.Message{
+					Kind: link.Release, Ticket: decision.Grant.Ticket, Outcome: sched.Canceled,
+				})
+			}
+		default:
+			return
+		}
+	}
+}
+
 // restore adds to the local scheduler a ticket that the leader granted, because the local scheduler has to know this
 // host's calls when it schedules without the leader.
 func (s *ticketService) restore(req sched.Request, decision sched.Decision) {
@@ -462,7 +486,7 @@
 	s.mu.Lock()
 	current := s.followers[host]
 	for t := range f.tickets {
-		if current == f || !current.tickets[t] {
+		if current == nil || current == f || !current.tickets[t] {
 			s.scheduler.Release(now, t, sched.Canceled)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -230,17 +230,18 @@
 }
 
 // AdapterFailed records that an adapter load failed, so that it can be requested again after orderBackoff, and keeps
-// the engine's adapters that were to be evicted.
-func (s *Scheduler) AdapterFailed(now time.Time, id, model, name string) {
-	e := s.engines[id]
+// the adapter that was to be evicted for it.
+func (s *Scheduler) AdapterFailed(now time.Time, load AdapterLoad) {
+	e := s.engines[load.Engine]
 	if e == nil {
 		return
 	}
 	e.noAdapterLoadsUntil = now.Add(orderBackoff)
-	if a := e.adapters[topo.Adapter{Model: model, Name: name}]; a != nil && a.calls == 0 {
-		delete(e.adapters, topo.Adapter{Model: model, Name: name})
+	k := topo.Adapter{Model: load.Model, Name: load.Adapter}
+	if a := e.adapters[k]; a != nil && a.calls == 0 {
+		delete(e.adapters, k)
 	}
-	for _, a := range e.adapters {
+	if a := e.adapters[topo.Adapter{Model: load.EvictModel, Name: load.EvictAdapter}]; a != nil {
 		a.unloading = false
 	}
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -188,6 +188,39 @@
 	}
 }
 
+// Guards against calls that are sent with an adapter that is being evicted, because the load of another one failed.
+func TestFailedAdapterLoad(t *testing.T) {
+	s := newScheduler(1)
+	soon := start.Add(50 * time.Millisecond)
+	schedule := func(now time.Time, id, adapter string) sched.Decision {
+		q := call(id, 100)
+		q.Spec.Adapter = adapter
+		return s.Schedule(now, q)
+	}
+	for _, name := range []string{"a1", "a2"} {
+		schedule(start, "first "+name, name)
+		for _, load := range s.AdapterLoads() {
+			s.OrderAccepted(start, load.Engine, &topo.Order{Model: load.Model, Adapter: load.Adapter}, 1)
+		}
+		for _, dec := range s.Step(soon) {
+			s.Release(soon, dec.Grant.Ticket, sched.Served)
+		}
+	}
+	schedule(soon, "b", "b1")
+	schedule(soon, "c", "b2")
+	loads := s.AdapterLoads()
+	if len(loads) != 2 || loads[0].EvictAdapter == loads[1].EvictAdapter {
+		t.Fatalf("adapter loads %+v, want two that evict both adapters", loads)
+	}
+	s.AdapterFailed(soon, loads[0])
+	if got := schedule(soon, "d", loads[0].EvictAdapter); got.Kind != sched.Granted {
+		t.Errorf("call for an adapter whose eviction was given up: %+v", got)
+	}
+	if got := schedule(soon, "e", loads[1].EvictAdapter); got.Kind == sched.Granted {
+		t.Errorf("call for an adapter that is being evicted: %+v", got)
+	}
+}
+
 // Guards against a new scheduler that ignores the load of the tickets restored from its predecessor.
 func TestRestoreTicket(t *testing.T) {
 	old, s := newScheduler(2), newScheduler(2)
