End the wait of stream calls before their callers leave

Change: platform states the patience of callers for a route; a call is queued no longer than that, and 15% less where it waits for a decode interval.

Conclusion: kept, because callers are refused with a retry time instead of being left without an answer; TestPatienceLimitsWait.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -97,11 +97,13 @@
 	mu       sync.Mutex
 	outcomes []sched.Outcome
 	granted  int
+	requests []sched.Request
 }
 
 func (f *fakeTickets) RequestTicket(_ context.Context, req sched.Request) (sched.Decision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.requests = append(f.requests, req)
 	if f.granted >= len(f.engines) {
 		return sched.Decision{Kind: sched.Rejected, Call: req.Call, Reason: "none"}, nil
 	}
@@ -362,3 +364,27 @@
 		t.Error("the connection to the engine is still open")
 	}
 }
+
+// Guards against stream calls that wait for an engine until their callers have left, because only their deadline is
+// considered.
+func TestPatienceLimitsWait(t *testing.T) {
+	for _, tt := range []struct {
+		patience, most, least time.Duration
+	}{
+		{0, time.Second, 300 * time.Millisecond},
+		{200 * time.Millisecond, 200 * time.Millisecond, 0},
+		{5 * time.Second, time.Second, 300 * time.Millisecond},
+	} {
+		cfg := config(topo.Stream, false, 1)
+		for i := range cfg.Routes {
+			cfg.Routes[i].Patience = tt.patience
+		}
+		srv, tk := newServer(t, cfg, nil, nil, 0)
+		if status, _, _, err := send(t, srv.URL, "/m/x", ""); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, %v", status, err)
+		}
+		if got := tk.requests[0].FirstEventIn; got > tt.most || got < tt.least {
+			t.Errorf("patience %v: the call may wait %v", tt.patience, got)
+		}
+	}
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -56,10 +56,25 @@
 	return sched.Request{
 		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.route.Priority,
 		TargetLatency: c.route.TargetLatency, Remaining: time.Until(c.deadline), Tried: c.tried,
-		GapTarget: c.route.GapTarget,
+		GapTarget: c.route.GapTarget, FirstEventIn: time.Until(c.firstEventDeadline()),
 	}
 }
 
+// firstEventDeadline returns when the caller leaves if the next attempt has sent no event.
+func (c *call) firstEventDeadline() time.Time {
+	if c.route.Patience <= 0 {
+		return c.deadline
+	}
+	since := c.start
+	if c.headerSent {
+		since = c.lastEventAt
+	}
+	if end := since.Add(c.route.Patience); end.Before(c.deadline) {
+		return end
+	}
+	return c.deadline
+}
+
 func (c *call) attemptModel(g sched.Grant) (attemptResult, sched.Outcome) {
 	c.tried = append(c.tried, g.Engine)
 	c.firstEventSent = false
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -40,7 +40,7 @@
 	case best == nil:
 		return s.waitOrReject(now, p, left)
 	case best.waitForDecode &&
-		now.Sub(p.arrived) < max(scale(targetWaitShare, p.TargetLatency), scale(lateWaitShare, p.Remaining)):
+		now.Sub(p.arrived) < p.maxDecodeWait():
 		return Decision{Kind: Waiting, Call: p.Call}
 	case best.ttft > left:
 		return s.reject(p, ReasonOverload, best.ttft-left)
@@ -279,7 +279,7 @@
 		}
 		return Decision{Kind: Waiting, Call: p.Call}
 	}
-	if now.Sub(s.placementFrom(p)) > scale(targetWaitShare, p.TargetLatency) || left < p.Remaining/2 {
+	if now.Sub(s.placementFrom(p)) > scale(targetWaitShare, p.TargetLatency) || left < p.deadline.Sub(p.arrived)/2 {
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
 	return Decision{Kind: Waiting, Call: p.Call}
@@ -295,6 +295,12 @@
 	return limit
 }
 
+// maxDecodeWait returns how long the call waits for a decode interval of an engine. It must leave time for the prefill.
+func (p *pending) maxDecodeWait() time.Duration {
+	limit := max(scale(targetWaitShare, p.TargetLatency), scale(lateWaitShare, p.Remaining))
+	return min(limit, scale(patienceShare, p.deadline.Sub(p.arrived))-p.minTTFT)
+}
+
 // compare orders calls by the time of their targets; calls that can no longer meet their targets come last.
 func (p *pending) compare(now time.Time, q *pending) int {
 	pt, qt := p.arrived.Add(p.TargetLatency), q.arrived.Add(q.TargetLatency)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -55,6 +55,8 @@
 	// lateWaitShare is the share of the time between a call's arrival and its deadline for which the call waits for a
 	// decode interval, even if it then misses its target latency.
 	lateWaitShare = 0.5
+	// patienceShare is the share of the time until the caller leaves that a call spends at most until its first event.
+	patienceShare = 0.85
 	// queueShare is the share of the time left until its deadline that a call may spend until its first event.
 	// maxLateness bounds the queueing time as a multiple of the target latency: a call that would wait longer is
 	// rejected with a retry time, because serving it would delay calls that can still meet their targets.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -55,6 +55,8 @@
 		Remaining     time.Duration `cbor:"7,keyasint"`           // until the caller's deadline
 		Tried         []string      `cbor:"8,keyasint,omitempty"` // engines of earlier attempts
 		GapTarget     time.Duration `cbor:"9,keyasint,omitempty"` // longest acceptable gap between events
+		// FirstEventIn is the time until the caller leaves if it has got no event; 0 means Remaining.
+		FirstEventIn time.Duration `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Decision is the answer to a Request.
@@ -130,7 +132,7 @@
 		Request
 		prefixKeys []uint64 // one key per prompt segment, see prefixKeys
 		arrived    time.Time
-		deadline   time.Time
+		deadline   time.Time     // when the caller leaves if it has got no event
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
@@ -138,7 +140,11 @@
 )
 
 func newPending(now time.Time, q Request) *pending {
-	return &pending{Request: q, prefixKeys: prefixKeys(&q.Spec), arrived: now, deadline: now.Add(q.Remaining)}
+	wait := q.Remaining
+	if q.FirstEventIn > 0 {
+		wait = min(wait, q.FirstEventIn)
+	}
+	return &pending{Request: q, prefixKeys: prefixKeys(&q.Spec), arrived: now, deadline: now.Add(wait)}
 }
 
 // modelKey returns the service and model that the call requests.
--- a/internal/topo/types.go
+++ b/internal/topo/types.go
@@ -35,6 +35,7 @@
 		Timeout       time.Duration
 		TargetLatency time.Duration // time to the first event
 		GapTarget     time.Duration // longest acceptable gap between events
+		Patience      time.Duration // time without an event after which callers leave a stream, or 0
 		Priority      int           // 0 is the most urgent
 		TrafficSplit  []WeightedService
 		MaxAttempts   int
