Bound bytes without end from upstreams

Cause: the head of a response was read without a limit, a body of another request was skipped up to whatever length it stated, and an event of a stream that never ends was collected until the call's deadline.

Change (figreel host): a head has at most 64 KB, a skipped body 1 MB, an event of a stream 1 MB; beyond that the attempt has failed like one whose connection broke, with a counter for events. Events may end with CRLF CRLF.

The same paths of figreel serve are not looked at yet.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -388,3 +388,47 @@
 		}
 	}
 }
+
+// Guards against an event without end that is collected until the memory is exhausted, or that counts as a response.
+func TestEventWithoutEnd(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	sent := make(chan int, 1)
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			return
+		}
+		n, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nX-Id: c1\r\nContent-Type: text/event-stream\r\n\r\ndata: ")
+		block := strings.Repeat("x", 4096)
+		for err == nil {
+			var more int
+			more, err = io.WriteString(nc, block)
+			n += more
+		}
+		sent <- n
+	}()
+	cfg := config(topo.Stream, false, 1)
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = 20 * time.Second
+	}
+	srv, _ := newServer(t, cfg, nil, []*upstream{{addr: l.Addr().String()}}, 0)
+	start := time.Now()
+	if status, body, _, err := send(t, srv.URL, "/m/x", ""); err == nil && status == http.StatusOK {
+		t.Errorf("status 200 with %d bytes", len(body))
+	}
+	if took := time.Since(start); took > 10*time.Second {
+		t.Errorf("the attempt ended after %v", took)
+	}
+	const most = 32 << 20 // the size limit of an event and the buffers of both sockets
+	if n := <-sent; n > most {
+		t.Errorf("%d bytes were accepted", n)
+	}
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -14,8 +14,12 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// streamBufferSize is the maximum size of one read from an upstream's stream, in bytes.
-const streamBufferSize = 8 << 10
+const (
+	// streamBufferSize is the maximum size of one read from an upstream's stream, in bytes.
+	streamBufferSize = 8 << 10
+	// maxEventBytes is the size limit of one event of a stream.
+	maxEventBytes = 1 << 20
+)
 
 // serveModel sends the call to one engine after another until its response is complete or no further attempt is
 // allowed.
@@ -128,6 +132,12 @@
 			c.sendEvents(res, g, partial[:end])
 			partial = append(partial[:0], partial[end:]...)
 		}
+		if len(partial) > maxEventBytes {
+			c.s.Stats.CountEvent("event_too_long")
+			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).Msg("event of the stream is too long")
+			res.Close()
+			return c.handleTruncated()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(partial) == 0 && c.headerSent:
@@ -192,13 +202,16 @@
 	}
 }
 
-// endOfLastEvent returns the offset after the last complete event in b, or 0.
+// endOfLastEvent returns the offset after the last complete event in b, or 0. Events end with an empty line; lines end
+// with LF or CRLF.
 func endOfLastEvent(b []byte) int {
-	i := bytes.LastIndex(b, []byte("\n\n"))
-	if i < 0 {
-		return 0
+	end := 0
+	for _, separator := range []string{"\n\n", "\n\r\n"} {
+		if i := bytes.LastIndex(b, []byte(separator)); i >= 0 {
+			end = max(end, i+len(separator))
+		}
 	}
-	return i + len("\n\n")
+	return end
 }
 
 // lastEventID returns the id of the last event that has one, or an empty string.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -36,6 +36,10 @@
 	bufferSize = 4096
 	// maxSkipped bounds the responses to other requests that are skipped while waiting for a response.
 	maxSkipped = 2
+	// maxHeadBytes bounds the head of a response: status line, header fields and the start of the body that was read with
+	// them. maxSkippedBytes bounds the body of a response that is skipped.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 1 << 20
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
 	tcpUserTimeout = 0x12
 )
@@ -74,6 +78,7 @@
 		net.Conn
 		addr      string
 		br        *bufio.Reader
+		limit     *limitedReader
 		idleSince time.Time
 		maxIdle   time.Duration
 		reused    bool
@@ -196,7 +201,10 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, bufferSize), maxIdle: maxIdle}, nil
+	limit := &limitedReader{r: nc}
+	return &conn{
+		Conn: nc, addr: addr, br: bufio.NewReaderSize(limit, bufferSize), limit: limit, maxIdle: maxIdle,
+	}, nil
 }
 
 // Dial connects with socket options that detect an unresponsive peer within seconds.
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -78,10 +78,12 @@
 // responses to other requests.
 func (p *Pool) readResponse(c *conn, r *Request) (*Response, error) {
 	for range maxSkipped + 1 {
+		c.limit.start(maxHeadBytes)
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
+		c.limit.stop()
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -89,8 +91,8 @@
 		if r.ID == "" || id == r.ID || id == "" && !c.reused {
 			return newResponse(c, res), nil
 		}
-		if res.ContentLength < 0 {
-			return nil, errors.New("response to another request has no content length")
+		if res.ContentLength < 0 || res.ContentLength > maxSkippedBytes {
+			return nil, errors.Errorf("response to another request has a body of %d bytes", res.ContentLength)
 		}
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, err
