Age unserved models slowly and serve the longest unserved first

Ties went to the first model of the list.

Change: the claim doubles after half a minute, and among models with as many waiting calls the one without an engine for longest comes first.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -36,8 +36,8 @@
 	bufferSize = 4096
 	// maxSkipped bounds the responses to other requests that are skipped while waiting for a response.
 	maxSkipped = 2
-	// maxHeadBytes bounds the head of a response: status line, header fields and the start of the body that was read with
-	// them. maxSkippedBytes bounds the body of a response that is skipped.
+	// maxHeadBytes bounds the head of a response: status line, header fields and the start of the body that was read
+	// with them. maxSkippedBytes bounds the body of a response that is skipped.
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
--- a/internal/place/target.go
+++ b/internal/place/target.go
@@ -12,6 +12,11 @@
 	waitingLoad = 0.3
 	// maxUnserved is how long a model may be unserved because the load of all possible victims exceeds maxVictimLoad.
 	maxUnserved = 5 * time.Second
+	// agingTime is the time without an engine after which the calls that wait for a model count twice against victims.
+	agingTime = 30 * time.Second
+	// agingLoad is the offered load that each second without an engine counts as in the order of unserved models, so
+	// that the one that has been unserved for longest comes first among those with as many calls.
+	agingLoad = 0.06
 )
 
 const (
@@ -119,7 +124,7 @@
 func (t *target) claim() float64 {
 	switch t.class() {
 	case unserved, overdue:
-		return float64(t.waiting) * (1 + t.unservedFor.Seconds()/maxUnserved.Seconds())
+		return float64(t.waiting) * (1 + t.unservedFor.Seconds()/agingTime.Seconds())
 	case growing:
 		return t.priority()
 	}
@@ -132,7 +137,7 @@
 	const unservedFirst, noReplica, notRequested = 1000.0, 100.0, 0.001
 	switch t.class() {
 	case unserved, overdue:
-		return unservedFirst + t.load
+		return unservedFirst + t.load + agingLoad*t.unservedFor.Seconds()
 	case known:
 		return noReplica
 	case unused:
