End calls of truncated responses and keep the newest settings

Cause, found by reading: in figreel serve a response that broke off after its status ended the handler with a panic before the call was counted as ended, so the upstream counted as busy for good; a deadline that passed before a request was sent, or a caller that left, ended the ejection of an upstream. In figreel host, settings that changed again before the host took the previous ones were dropped.

Change: the call ends in every case, and a result that says nothing about the upstream changes nothing; newer settings replace those not yet taken.

--- a/cmd/figreel/settings.go
+++ b/cmd/figreel/settings.go
@@ -17,7 +17,7 @@
 const settingsPollInterval = 2 * time.Second
 
 // watchSettings sends the settings after each change of their file, and after each SIGHUP. Invalid settings are logged
-// and not sent. New settings are dropped while the receiver has not received the previous ones.
+// and not sent. New settings replace those that the receiver has not received yet.
 func watchSettings(ctx context.Context, file string, log zerolog.Logger) <-chan host.Settings {
 	out := make(chan host.Settings, 1)
 	hup := make(chan os.Signal, 1)
@@ -48,9 +48,10 @@
 			}
 			log.Info().Bool("signal", signaled).Strs("seeds", s.Seeds).Msg("settings reloaded")
 			select {
-			case out <- s:
+			case <-out:
 			default:
 			}
+			out <- s
 		}
 	}()
 	return out
--- a/cmd/figreel/settings_test.go
+++ b/cmd/figreel/settings_test.go
@@ -74,3 +74,35 @@
 		}
 	}
 }
+
+// Guards against the loss of the newest settings when they change again before the host has taken the previous ones.
+func TestNewestSettingsAreKept(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(file, []byte(validSettings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	changes := watchSettings(ctx, file, zerolog.Nop())
+	for _, seed := range []string{"127.0.0.1:2", "127.0.0.1:3"} {
+		body := strings.Replace(validSettings, "127.0.0.1:1", seed, 1)
+		if err := os.WriteFile(file, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case s := <-changes:
+			if s.Seeds[0] == "127.0.0.1:3" {
+				return
+			}
+		case <-timeout:
+			t.Fatal("the newest settings were lost")
+		}
+	}
+}
--- a/internal/proxy/picker.go
+++ b/internal/proxy/picker.go
@@ -18,6 +18,12 @@
 	maxEjectionShift = 5
 )
 
+const (
+	served  result = iota // the upstream responded
+	failed                // the upstream failed
+	unknown               // it ended for a reason that says nothing about the upstream
+)
+
 type (
 	// picker chooses among the upstreams of services by the calls in flight and the recent failures of this host.
 	picker struct {
@@ -25,6 +31,9 @@
 		states map[string]*upstreamState
 	}
 
+	// result is how a call at an upstream ended.
+	result uint8
+
 	// upstreamState is what this host has observed of one upstream.
 	upstreamState struct {
 		inFlight     int
@@ -50,17 +59,20 @@
 	return best, true
 }
 
-// done ends a call that pick counted. If the call failed, the upstream is ejected for a while; otherwise its failures
-// are forgotten and its ejection ends.
-func (p *picker) done(now time.Time, name string, failed bool) {
+// done ends a call that pick counted. If the call failed, the upstream is ejected for a while; if it was served, its
+// failures are forgotten and its ejection ends.
+func (p *picker) done(now time.Time, name string, r result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(name)
 	s.inFlight--
-	if !failed {
+	switch r {
+	case served:
 		s.failures = 0
 		s.ejectedUntil = time.Time{}
 		return
+	case unknown:
+		return
 	}
 	ejection := min(initialEjection<<min(s.failures, maxEjectionShift), maxEjection)
 	s.failures++
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,8 +78,11 @@
 			p.Stats.ObserveUpstream(up.Name, time.Since(sentAt))
 			return p.writeResponse(w, up, req, resp)
 		}
-		// A passed deadline or a disconnected client does not count as a failure of the upstream.
-		p.picker.done(time.Now(), up.Name, !errors.Is(err, errDeadlinePassed) && callerCtx.Err() == nil)
+		r := failed
+		if errors.Is(err, errDeadlinePassed) || callerCtx.Err() != nil {
+			r = unknown
+		}
+		p.picker.done(time.Now(), up.Name, r)
 		state.recordFailure(up.Name, err)
 		if !p.shouldRetry(ctx, req, state, n) {
 			return p.toAPIError(req, state)
@@ -153,27 +156,32 @@
 	w http.ResponseWriter, up envdoc.Upstream, req apigw.ServiceRequest, resp *plain.Response,
 ) error {
 	defer func() { _ = resp.Body.Close() }()
+	r := failed
+	// A truncated response may end in a panic.
+	defer func() { p.picker.done(time.Now(), up.Name, r) }()
 	buf := make([]byte, copyBufferBytes)
 	n, err := resp.Body.Read(buf)
 	if err != nil && !errors.Is(err, io.EOF) {
-		p.picker.done(time.Now(), up.Name, true)
 		return p.toAPIError(req, &requestState{maybeExecuted: true, lastErr: err})
 	}
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
-	failed, werr := p.copyBody(w, resp.Body, buf, n, err)
-	p.picker.done(time.Now(), up.Name, failed)
-	if !failed && werr == nil {
+	truncated, werr := p.copyBody(w, resp.Body, buf, n, err)
+	if truncated {
+		return werr
+	}
+	r = served
+	if werr == nil {
 		p.RetryBudget.Earn()
 	}
 	return werr
 }
 
-// copyBody copies the rest of the body to w, starting with buf[:n] and the error err of the read that filled it. failed
-// reports that the upstream failed; werr is the error for the caller of Forward.
+// copyBody copies the rest of the body to w, starting with buf[:n] and the error err of the read that filled it.
+// truncated reports that the upstream broke off; werr is the error for the caller of Forward.
 func (p *Proxy) copyBody(
 	w http.ResponseWriter, body io.Reader, buf []byte, n int, err error,
-) (failed bool, werr error) {
+) (truncated bool, werr error) {
 	flush := http.NewResponseController(w)
 	for {
 		if _, werr := w.Write(buf[:n]); werr != nil {
