Run nothing in a control loop after its context has ended

Cause: the loop chose at random between the end of its context and a queued function, so the dispatcher of a stopping host granted a call that came just then; Post chose at random between the queue and the end of the loop.

Change: the context is checked before each function, and the end of the loop before the queue.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -19,7 +19,7 @@
 	return &Loop{queue: make(chan func(), queueLength), done: make(chan struct{})}
 }
 
-// Run calls posted functions until ctx ends. It must be called only once.
+// Run calls posted functions until ctx ends; after that it calls none, queued or not. It must be called only once.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
@@ -27,6 +27,9 @@
 		case <-ctx.Done():
 			return
 		case f := <-l.queue:
+			if ctx.Err() != nil {
+				return
+			}
 			f()
 		}
 	}
@@ -35,6 +38,11 @@
 // Post queues f and blocks while the queue is full. It returns false if the loop has ended; true does not mean that f
 // runs, because the loop may end before its turn.
 func (l *Loop) Post(f func()) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
 	select {
 	case l.queue <- f:
 		return true
