Answer a drain of unknown outcome as such

Cause, found by reading: a drain whose write to the key-value service got no response was answered with kv_unavailable and not_run, although it may have taken effect.

Change: outcome_unknown with status 504. The row of TestErrorResponses that expected not_run was wrong for this reason and now expects the true outcome.

--- a/internal/oper/handlers.go
+++ b/internal/oper/handlers.go
@@ -158,7 +158,11 @@
 		writeError(w, &ErrorResponse{Code: CodeOtherHost, Message: "this is host " + s.Name + ", not " + req.Name})
 	default:
 		if err := s.Drain(r.Context(), req); err != nil {
-			writeError(w, newErrorResponse(err))
+			e := newErrorResponse(err)
+			if errors.Is(err, kvapi.ErrOutcomeUnknown) {
+				e.Code, e.Outcome = CodeOutcomeUnknown, answer.Unknown
+			}
+			writeError(w, e)
 			return
 		}
 		s.Log.Info().Str("kind", req.Kind).Str("name", req.Name).Bool("back", req.End).Msg("drain by operator")
--- a/internal/oper/server_test.go
+++ b/internal/oper/server_test.go
@@ -123,7 +123,7 @@
 		{"/v1/drain", `{"kind":"host","name":"host-2"}`, nil, 421, oper.CodeOtherHost, answer.NotRun},
 		{"/v1/drain", `{"kind":"host","name":"host-1","back":true}`, nil, 400, oper.CodeBadRequest, answer.NotRun},
 		{"/v1/drain", `{"kind":"upstream","name":"e"}`, oper.ErrNoUpstream, 404, oper.CodeNotFound, answer.NotRun},
-		{"/v1/drain", `{"kind":"upstream","name":"e"}`, kvapi.ErrOutcomeUnknown, 503, oper.CodeKVUnavailable, answer.NotRun},
+		{"/v1/drain", `{"kind":"upstream","name":"e"}`, kvapi.ErrOutcomeUnknown, 504, oper.CodeOutcomeUnknown, answer.Unknown},
 	} {
 		store.err = tt.err
 		status, resp := send(h, "Bearer "+key, tt.path, tt.body)
