--- /dev/null
+++ b/internal/elect/campaign.go
@@ -0,0 +1,118 @@
+package elect
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/store"
+)
+
+const (
+	// rankDelay is the time per rank, counted from 1, that a host waits before it campaigns for a vacant leadership. A
+	// host with the previous leader's name does not wait, because it may send orders without a handover delay.
+	rankDelay = 150 * time.Millisecond
+	// maxRanked is how many hosts wait in line. For all others, unrankedSpread for each registered host, at most
+	// maxUnrankedSpread, is the range of their further delay.
+	maxRanked         = 6
+	unrankedSpread    = 10 * time.Millisecond
+	maxUnrankedSpread = 2 * time.Second
+)
+
+// campaignDelay returns the time until this host should try to become leader, and false if there is a leader or the
+// state of the store is not known.
+func (e *Elector) campaignDelay(now time.Duration) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.currentKnown || e.current != nil {
+		return 0, false
+	}
+	delay := time.Duration(0)
+	if e.lastLeader.Host != e.Self.Name {
+		delay = e.rankedDelay(e.Rank(e.lastLeader.Host))
+	}
+	return e.vacantSince + delay - now, true
+}
+
+// rankedDelay returns how long the host with this rank waits before it campaigns. Hosts beyond the first maxRanked ones
+// do not wait in line, because many hosts may be lost at once, but for times that are spread evenly.
+func (e *Elector) rankedDelay(rank int) time.Duration {
+	if rank < maxRanked {
+		return rankDelay * time.Duration(1+rank)
+	}
+	hosts := 1
+	if e.Hosts != nil {
+		hosts = e.Hosts()
+	}
+	spread := min(unrankedSpread*time.Duration(hosts), maxUnrankedSpread)
+	return rankDelay*time.Duration(1+maxRanked) + time.Duration(e.campaignPlace()*float64(spread))
+}
+
+// campaignPlace returns this host's place among the hosts without a rank, from 0 to 1; it stays the same for a lease.
+func (e *Elector) campaignPlace() float64 {
+	return float64(xxhash.Sum64String(e.nonce)) / math.MaxUint64
+}
+
+// campaign tries to write the leader key and the leader record.
+func (e *Elector) campaign(ctx context.Context, lease int64) time.Duration {
+	e.mu.Lock()
+	prev := e.lastLeader
+	self := Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: e.nonce}
+	// The previous leader may send orders until its lease ends, at most leaseTime after the key was removed. ordersFrom
+	// is set before the write, because its response may be lost and the watch may report the new leader first.
+	e.ordersFrom = e.vacantSince + leaseTime + e.HandoverDelay
+	if prev.Host == "" || prev.Host == e.Self.Name {
+		e.ordersFrom = 0
+	}
+	e.mu.Unlock()
+	value, err := json.Marshal(self)
+	if err != nil {
+		e.Log.Error().Err(err).Msg("failed to encode leader record")
+		return renewInterval
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rev, err := e.Store.Commit(ctx, store.Txn{
+		If:   []store.Condition{{Key: leaderKey}},
+		Puts: []store.Item{{Key: leaderKey, Value: value, Lease: lease}, {Key: leaderRecordKey, Value: value}},
+	})
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return retryDelay
+	case err != nil:
+		e.Log.Warn().Err(err).Msg("failed to become leader")
+		return retryDelay
+	}
+	e.mu.Lock()
+	changed := e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease, Revision: rev})
+	e.mu.Unlock()
+	e.Log.Info().Int64("token", rev).Str("last", prev.Host).Msg("became leader")
+	if changed {
+		e.LeadershipChanged(true)
+	}
+	if prev.Host != "" && prev.Host != e.Self.Name {
+		go e.shortenHandover(prev, self.Nonce)
+	}
+	return 0
+}
+
+// shortenHandover asks the previous leader to step down and to return the time since its last order, and shortens the
+// handover delay accordingly.
+func (e *Elector) shortenHandover(prev Leader, nonce string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	sinceLast, err := e.RequestStepDown(ctx, prev)
+	if err != nil {
+		e.Log.Info().Err(err).Str("last", prev.Host).Msg("previous leader does not respond")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fence != 0 && e.nonce == nonce {
+		e.ordersFrom = min(e.ordersFrom, e.now()+max(e.HandoverDelay+safetyMargin-sinceLast, 0))
+	}
+}
--- /dev/null
+++ b/internal/host/changes.go
@@ -0,0 +1,76 @@
+package host
+
+import (
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/store"
+)
+
+// changes returns the changes since the revisions in known, and a channel that is closed at the next change.
+func (sc *storeCache) changes(known []link.PrefixState) ([]link.PrefixState, <-chan struct{}) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	var out []link.PrefixState
+	for _, k := range known {
+		p := sc.states[k.Prefix]
+		if p == nil || p.revision <= k.Revision {
+			continue
+		}
+		if p.sent.Revision != p.revision || p.sentSince != k.Revision {
+			// Most hosts ask for the same changes.
+			p.sent, p.sentSince = p.changesSince(k.Revision), k.Revision
+		}
+		out = append(out, p.sent)
+	}
+	return out, sc.nextChange
+}
+
+// changesSince returns the changes of the prefix since a revision, or all items if the deletions since then are not
+// known any more.
+func (p *prefixState) changesSince(revision int64) link.PrefixState {
+	l := link.PrefixState{
+		Prefix: p.prefix, Revision: p.revision, Delta: revision >= p.deletionsSince && revision > 0,
+	}
+	for _, it := range p.items {
+		switch {
+		case !l.Delta:
+			l.Items = append(l.Items, it)
+		case it.Revision > revision:
+			l.Events = append(l.Events, store.Event{Item: it})
+		}
+	}
+	if !l.Delta {
+		return l
+	}
+	for _, e := range p.deletions {
+		if _, back := p.items[e.Key]; e.Revision > revision && !back {
+			l.Events = append(l.Events, e)
+		}
+	}
+	return l
+}
+
+// merge applies changes that another host has sent.
+func (sc *storeCache) merge(states []link.PrefixState) {
+	for _, l := range states {
+		if l.Delta {
+			sc.apply(l.Prefix, l.Events, l.Revision)
+		} else {
+			sc.replace(l)
+		}
+	}
+}
+
+// knownRevisions returns the cached revisions of the prefixes whose changes other hosts should send. The prefix of the
+// configuration is included only while the store is unreachable, because every host watches it: it is too large to be
+// sent to a whole fleet by a few hosts.
+func (sc *storeCache) knownRevisions() []link.PrefixState {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	out := make([]link.PrefixState, 0, len(sc.states))
+	for _, p := range sc.states {
+		if p.prefix != sc.platform.ConfigPrefix || p.unreachable {
+			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.revision})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/host/follower.go
@@ -0,0 +1,105 @@
+package host
+
+import (
+	"time"
+
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/sched"
+)
+
+// serveFollower restores the open tickets of a follower and handles its messages until the connection ends.
+func (s *ticketService) serveFollower(c *link.Conn, hello *link.Message) {
+	f := &follower{conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
+	s.mu.Lock()
+	s.followers[hello.Host] = f
+	for _, t := range hello.OpenTickets {
+		s.scheduler.RestoreTicket(time.Now(), t)
+		f.tickets[t.Grant.Ticket] = true
+	}
+	s.mu.Unlock()
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			break
+		}
+		s.handle(f, m)
+	}
+	time.AfterFunc(rejoinPeriod, func() { s.releaseFollower(hello.Host, f) })
+}
+
+func (s *ticketService) handle(f *follower, m *link.Message) {
+	switch m.Kind {
+	case link.TicketRequest:
+		if m.Request != nil {
+			s.requestFor(f, *m.Request)
+		}
+	case link.Cancel:
+		s.mu.Lock()
+		s.scheduler.Cancel(m.Call)
+		delete(s.replies, m.Call)
+		delete(f.waiting, m.Call)
+		s.mu.Unlock()
+	case link.FirstEvent:
+		s.mu.Lock()
+		s.scheduler.SetLoad(time.Now(), m.Ticket, m.Load)
+		s.scheduler.FirstEvent(time.Now(), m.Ticket)
+		s.mu.Unlock()
+	case link.Release:
+		s.mu.Lock()
+		s.scheduler.Release(time.Now(), m.Ticket, m.Outcome)
+		delete(f.tickets, m.Ticket)
+		s.mu.Unlock()
+		s.wake()
+	}
+}
+
+func (s *ticketService) requestFor(f *follower, req sched.Request) {
+	s.mu.Lock()
+	decision := s.scheduler.Schedule(time.Now(), req)
+	loads := s.scheduler.AdapterLoads()
+	switch decision.Kind {
+	case sched.Granted:
+		f.tickets[decision.Grant.Ticket] = true
+	case sched.Waiting:
+		f.waiting[req.Call] = true
+		s.replies[req.Call] = func(later sched.Decision) { s.reply(f, later) }
+	}
+	s.mu.Unlock()
+	s.requestLoads(loads)
+	s.send(f.conn, &link.Message{Kind: link.Reply, Call: req.Call, Decision: &decision})
+	if decision.Kind == sched.Waiting {
+		s.wake()
+	}
+}
+
+func (s *ticketService) reply(f *follower, decision sched.Decision) {
+	s.mu.Lock()
+	delete(f.waiting, decision.Call)
+	if decision.Kind == sched.Granted {
+		f.tickets[decision.Grant.Ticket] = true
+	}
+	s.mu.Unlock()
+	s.send(f.conn, &link.Message{Kind: link.Reply, Call: decision.Call, Decision: &decision})
+}
+
+// releaseFollower releases the tickets and calls of an ended connection, except tickets that the follower has sent
+// again on a new one.
+func (s *ticketService) releaseFollower(host string, f *follower) {
+	now := time.Now()
+	s.mu.Lock()
+	current := s.followers[host]
+	for t := range f.tickets {
+		if current == nil || current == f || !current.tickets[t] {
+			s.scheduler.Release(now, t, sched.Canceled)
+		}
+	}
+	for call := range f.waiting {
+		s.scheduler.Cancel(call)
+		delete(s.replies, call)
+	}
+	if current == f {
+		delete(s.followers, host)
+	}
+	s.mu.Unlock()
+	s.wake()
+}
