--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -50,6 +50,23 @@
 	return l.Addr().String(), total
 }
 
+// checkEndless sends a request to an endless server and passes what comes of it to check. It fails if the exchange takes
+// until its deadline, or if the server could send more than maxUnread.
+func checkEndless(t *testing.T, head, rest string, check func(*h1.Response, error)) {
+	t.Helper()
+	addr, sent := endless(t, head, rest)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := &h1.Pool{IDHeader: "X-Id"}
+	check(p.Do(ctx, &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: "mine"}))
+	if ctx.Err() != nil {
+		t.Fatal("the exchange ended only with its deadline")
+	}
+	if n := <-sent; n > maxUnread {
+		t.Errorf("%d bytes were accepted", n)
+	}
+}
+
 // Guards against an upstream in trouble that sends bytes without end in place of a response: they must end the attempt
 // after a bounded number of bytes, and never count as a response.
 func TestEndlessHead(t *testing.T) {
@@ -66,20 +83,11 @@
 		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			addr, sent := endless(t, tt.head, tt.rest)
-			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-			defer cancel()
-			p := &h1.Pool{IDHeader: "X-Id"}
-			_, err := p.Do(ctx, &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: "mine"})
-			if !errors.Is(err, h1.ErrNoResponse) {
-				t.Fatalf("error %v, want no response", err)
-			}
-			if ctx.Err() != nil {
-				t.Fatal("the attempt ended only with its deadline")
-			}
-			if n := <-sent; n > maxUnread {
-				t.Errorf("%d bytes were accepted", n)
-			}
+			checkEndless(t, tt.head, tt.rest, func(_ *h1.Response, err error) {
+				if !errors.Is(err, h1.ErrNoResponse) {
+					t.Fatalf("error %v, want no response", err)
+				}
+			})
 		})
 	}
 }
@@ -99,23 +107,14 @@
 		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			addr, sent := endless(t, tt.head, tt.rest)
-			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-			defer cancel()
-			p := &h1.Pool{IDHeader: "X-Id"}
-			res, err := p.Do(ctx, &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: "mine"})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if b, err := res.ReadAll(64 << 10); err == nil {
-				t.Fatalf("%d bytes count as a complete body", len(b))
-			}
-			if ctx.Err() != nil {
-				t.Fatal("the attempt ended only with its deadline")
-			}
-			if n := <-sent; n > maxUnread {
-				t.Errorf("%d bytes were accepted", n)
-			}
+			checkEndless(t, tt.head, tt.rest, func(res *h1.Response, err error) {
+				if err != nil {
+					t.Fatal(err)
+				}
+				if b, err := res.ReadAll(64 << 10); err == nil {
+					t.Fatalf("%d bytes count as a complete body", len(b))
+				}
+			})
 		})
 	}
 }
