Count registered hosts without sorting them

The retry budget, the elector and the backoff took the number of hosts from three places, two of which copied and sorted all hosts: for each retry and each lease renewal. One function counts them now, and the elector asks only after a failure. No behaviour changes; tests of the packages pass.

--- a/internal/elect/retry.go
+++ b/internal/elect/retry.go
@@ -46,7 +46,7 @@
 		err = nil
 	}
 	hosts := 1
-	if e.Hosts != nil {
+	if err != nil && e.Hosts != nil {
 		hosts = e.Hosts()
 	}
 	e.mu.Lock()
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -166,10 +166,13 @@
 }
 
 // maxBackoff returns the longest time between two calls to an unreachable store.
-func (sc *storeCache) maxBackoff() time.Duration {
+func (sc *storeCache) maxBackoff() time.Duration { return elect.OutageRetryInterval(sc.hostCount()) }
+
+// hostCount returns the number of registered hosts.
+func (sc *storeCache) hostCount() int {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return elect.OutageRetryInterval(len(sc.hosts))
+	return len(sc.hosts)
 }
 
 // retryStore ends all waits after failed calls to the store.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,7 +102,7 @@
 	h.tickets = newTicketService(s.Name, h.elector, h.Stats, h.Log)
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
-	h.elector.Hosts = func() int { return len(h.cache.Hosts()) }
+	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
 		self: self, cache: h.cache, elector: h.elector, seeds: s.Seeds, stats: h.Stats, log: h.Log,
 		now: clock.SinceBoot,
@@ -121,7 +121,7 @@
 		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{Domain: s.Domain, Upstreams: h.cache.Upstreams},
 		RetryBudget: &retryBudget{
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
-			hosts: func() int { return len(h.cache.Hosts()) },
+			hosts: h.cache.hostCount,
 		},
 		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
