Log how old a host's copy of the store is when it changes

The lines on upstreams did not say where a change came from or how late it could be, so an outdated source and a grace period after an outage looked the same. Hosts now record as of when their copy of the upstreams is complete: a response of the store confirms it, and a source states it in each response, relative to the arrival of the request so that no clocks are compared. `upstream changed` and `upstream removed` have `via` and `age_ms`, and an entry that stays in use after its removal is logged. No decision changes.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -55,6 +55,8 @@
 	log      zerolog.Logger
 	elector  *elect.Elector
 	onChange func()
+	// now returns the boot time, which includes the time for which the machine is suspended.
+	now func() time.Duration
 
 	mu          sync.Mutex
 	config      *topo.Config
@@ -75,17 +77,30 @@
 	deletions      []store.Event        // the newest deletions, oldest first
 	deletionsSince int64                // revision since which deletions is complete
 	revision       int64                // store revision as of which items is complete
+	confirmedAt    time.Duration        // boot time as of which items is complete, 0 before the first list
 	sent           link.PrefixState     // the changes that were last sent to another host
 	sentSince      int64                // revision since which they are
 	failures       int                  // consecutive failed calls for this prefix
 	unreachable    bool                 // the last calls for this prefix failed
 }
 
+// origin says where a change of the copy came from.
+type origin struct {
+	via string        // the store, or the name or address of a host
+	age time.Duration // how old the copy was, an upper bound of the delay of the change
+}
+
+// Origins of changes that no other host has sent.
+const (
+	originStore = "store"
+	originGrace = "grace period" // the grace period after an outage has ended
+)
+
 func newStoreCache(p *Platform, s *elect.Elector, st *stats.Set, log zerolog.Logger) *storeCache {
 	sc := &storeCache{
 		platform: p, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host), nextChange: make(chan struct{}),
-		retryNow: make(chan struct{}),
+		retryNow: make(chan struct{}), now: clock.SinceBoot,
 	}
 	for _, prefix := range sc.prefixes() {
 		sc.states[prefix] = &prefixState{
@@ -193,12 +208,14 @@
 func (sc *storeCache) list(ctx context.Context, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	start := sc.now()
 	items, revision, err := sc.platform.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	sc.markReachable(prefix)
-	sc.replace(link.PrefixState{Prefix: prefix, Revision: revision, Items: items})
+	sc.replace(link.PrefixState{Prefix: prefix, Revision: revision, Items: items}, originStore)
+	sc.confirm(prefix, start)
 	return nil
 }
 
@@ -209,12 +226,15 @@
 		wait = probeWait
 	}
 	sc.mu.Unlock()
+	start := sc.now()
 	events, revision, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return err
 	}
 	sc.markReachable(prefix)
-	sc.apply(prefix, events, revision)
+	sc.apply(prefix, events, revision, originStore)
+	// The response may have been read late.
+	sc.confirm(prefix, min(sc.now(), start+wait))
 	if len(events) > 0 && prefix != sc.platform.ConfigPrefix {
 		clock.Sleep(ctx, batchDelay)
 	}
@@ -255,6 +275,22 @@
 	}
 }
 
+// confirm records that the copy of a prefix is complete as of a boot time.
+func (sc *storeCache) confirm(prefix string, at time.Duration) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.states[prefix]
+	p.confirmedAt = max(p.confirmedAt, at)
+}
+
+// origin returns the origin of changes that arrive now.
+func (sc *storeCache) origin(p *prefixState, via string) origin {
+	if p.confirmedAt == 0 {
+		return origin{via: via}
+	}
+	return origin{via: via, age: sc.now() - p.confirmedAt}
+}
+
 // unreachable reports whether the last store call for any prefix failed.
 func (sc *storeCache) unreachable() bool {
 	sc.mu.Lock()
@@ -268,28 +304,28 @@
 }
 
 // replace replaces all items of a prefix unless the cache has a newer revision.
-func (sc *storeCache) replace(l link.PrefixState) {
+func (sc *storeCache) replace(l link.PrefixState, via string) {
 	sc.mu.Lock()
 	p := sc.states[l.Prefix]
 	if p == nil || l.Revision < p.revision {
 		sc.mu.Unlock()
 		return
 	}
-	now := time.Now()
+	now, from := time.Now(), sc.origin(p, via)
 	current := make(map[string]store.Item, len(l.Items))
 	for _, it := range l.Items {
 		current[it.Key] = it
 	}
 	for key := range p.items {
 		if _, ok := current[key]; !ok {
-			sc.remove(now, p, key, l.Revision)
+			sc.remove(now, p, key, l.Revision, from)
 		}
 	}
 	if p.revision == 0 {
 		p.deletionsSince = l.Revision
 	}
 	for key, it := range current {
-		sc.put(p, key, it)
+		sc.put(p, key, it, from)
 	}
 	p.revision = l.Revision
 	sc.notify()
@@ -300,23 +336,23 @@
 	sc.onChange()
 }
 
-func (sc *storeCache) apply(prefix string, events []store.Event, revision int64) {
+func (sc *storeCache) apply(prefix string, events []store.Event, revision int64, via string) {
 	sc.mu.Lock()
 	p := sc.states[prefix]
 	if revision <= p.revision && len(events) == 0 {
 		sc.mu.Unlock()
 		return
 	}
-	now := time.Now()
+	now, from := time.Now(), sc.origin(p, via)
 	for _, e := range events {
 		if e.Revision <= p.revision {
 			continue
 		}
 		if e.Deleted {
-			sc.remove(now, p, e.Key, e.Revision)
+			sc.remove(now, p, e.Key, e.Revision, from)
 			continue
 		}
-		sc.put(p, e.Key, e.Item)
+		sc.put(p, e.Key, e.Item, from)
 	}
 	p.revision = max(p.revision, revision)
 	sc.notify()
@@ -331,7 +367,7 @@
 
 // put stores and decodes a new item. An invalid configuration or host registration leaves the previous one in use; an
 // invalid upstream entry removes the upstream.
-func (sc *storeCache) put(p *prefixState, key string, it store.Item) {
+func (sc *storeCache) put(p *prefixState, key string, it store.Item, from origin) {
 	if old, ok := p.items[key]; ok && old.Revision == it.Revision {
 		return
 	}
@@ -356,7 +392,7 @@
 		}
 		if old := sc.upstreams[key]; old == nil || old.Leaving != u.Leaving || old.Boot != u.Boot {
 			sc.log.Info().Str("upstream", u.ID).Str("addr", u.Addr).Bool("leaving", u.Leaving).Int64("boot", u.Boot).
-				Msg("upstream changed")
+				Str("via", from.via).Dur("age_ms", from.age).Msg("upstream changed")
 		}
 		u.Revision = it.Revision
 		sc.upstreams[key] = u
@@ -390,7 +426,7 @@
 
 // remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store was unreachable
 // until a moment ago.
-func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64) {
+func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64, from origin) {
 	delete(p.items, key)
 	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
 	if n := len(p.deletions) - maxDeletions; n > 0 {
@@ -399,14 +435,16 @@
 	}
 	if now.Sub(sc.storeBackAt) < graceWindow && p.prefix != sc.platform.ConfigPrefix {
 		p.graceUntil[key] = now.Add(gracePeriod)
+		sc.log.Info().Str("key", key).Str("via", from.via).Dur("age_ms", from.age).
+			Dur("outage_ended_ms", now.Sub(sc.storeBackAt)).Msg("expired entry stays in use for a while")
 		return
 	}
-	sc.discard(key)
+	sc.discard(key, from)
 }
 
-func (sc *storeCache) discard(key string) {
+func (sc *storeCache) discard(key string, from origin) {
 	if u := sc.upstreams[key]; u != nil {
-		sc.log.Info().Str("upstream", u.ID).Msg("upstream removed")
+		sc.log.Info().Str("upstream", u.ID).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream removed")
 		delete(sc.upstreams, key)
 	}
 	if _, ok := sc.hosts[key]; ok {
@@ -430,7 +468,7 @@
 		for key, until := range p.graceUntil {
 			if now.After(until) {
 				delete(p.graceUntil, key)
-				sc.discard(key)
+				sc.discard(key, origin{via: originGrace})
 				changed = true
 			}
 		}
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -150,8 +150,8 @@
 			for _, p := range other.states {
 				known = append(known, link.PrefixState{Prefix: p.prefix, Revision: p.revision})
 			}
-			states, _ := sc.changes(known)
-			other.merge(states)
+			states, _, _ := sc.changes(known)
+			other.merge(states, "another host")
 		}
 		transfer()
 		if got := ids(other); got != "e1 e2" {
@@ -189,12 +189,12 @@
 			s.Delete("up/e1")
 		}()
 		start := time.Now()
-		states := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 2000})
+		states, _ := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 2000})
 		if took := time.Since(start); len(states) != 1 || took > 500*time.Millisecond {
 			t.Errorf("%d states after %v", len(states), took)
 		}
 		known[0].Revision = states[0].Revision
-		if states := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 100}); len(states) != 0 {
+		if states, _ := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 100}); len(states) != 0 {
 			t.Errorf("states without a change: %+v", states)
 		}
 	})
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -1,15 +1,19 @@
 package host
 
 import (
+	"time"
+
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/store"
 )
 
-// changes returns the changes since the revisions in known, and a channel that is closed at the next change.
-func (sc *storeCache) changes(known []link.PrefixState) ([]link.PrefixState, <-chan struct{}) {
+// changes returns the changes since the revisions in known, the boot time as of which this host's copy of the upstreams
+// is complete, and a channel that is closed at the next change.
+func (sc *storeCache) changes(known []link.PrefixState) (
+	out []link.PrefixState, confirmedAt time.Duration, next <-chan struct{},
+) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	var out []link.PrefixState
 	for _, k := range known {
 		p := sc.states[k.Prefix]
 		if p == nil || p.revision <= k.Revision {
@@ -21,7 +25,7 @@
 		}
 		out = append(out, p.sent)
 	}
-	return out, sc.nextChange
+	return out, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
 }
 
 // changesSince returns the changes of the prefix since a revision, or all items if the deletions since then are not
@@ -50,12 +54,12 @@
 }
 
 // merge applies changes that another host has sent.
-func (sc *storeCache) merge(states []link.PrefixState) {
+func (sc *storeCache) merge(states []link.PrefixState, via string) {
 	for _, l := range states {
 		if l.Delta {
-			sc.apply(l.Prefix, l.Events, l.Revision)
+			sc.apply(l.Prefix, l.Events, l.Revision, via)
 		} else {
-			sc.replace(l)
+			sc.replace(l, via)
 		}
 	}
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -265,13 +265,15 @@
 func (r *watchRelay) fetchChanges(ctx context.Context, c *link.Conn, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
+	start := r.cache.now()
 	m, err := c.RoundTrip(ctx, &link.Message{
 		Kind: link.GetChanges, Host: r.self.Name, Prefixes: r.cache.knownRevisions(), WaitMS: wait.Milliseconds(),
 	})
 	if err != nil {
 		return err
 	}
-	r.cache.merge(m.Prefixes)
+	r.cache.merge(m.Prefixes, m.Host)
+	r.cache.confirm(r.cache.platform.UpstreamPrefix, start+time.Duration(m.ConfirmedMS)*time.Millisecond)
 	r.noteStore(m.StoreUnreachable)
 	if m.StoreUnreachable {
 		return errSourceLostStore
@@ -336,9 +338,11 @@
 // serve answers requests for changes from another host until its connection ends.
 func (r *watchRelay) serve(c *link.Conn, m *link.Message) {
 	for m.Kind == link.GetChanges {
+		arrived := r.cache.now()
+		states, confirmedAt := r.waitForChanges(m)
 		response := &link.Message{
-			Kind: link.Changes, Prefixes: r.waitForChanges(m), StoreUnreachable: r.storeUnreachable(),
-			Stale: !r.isCurrent(),
+			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
+			Stale: !r.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
 		}
 		if err := c.Send(response); err != nil {
 			return
@@ -350,20 +354,21 @@
 	}
 }
 
-// waitForChanges returns the changes that the request asks for, or nil if there are none within its wait or as soon as
-// this host's copy of the store may be outdated.
-func (r *watchRelay) waitForChanges(m *link.Message) []link.PrefixState {
+// waitForChanges returns the changes that the request asks for, or none if there are none within its wait or as soon as
+// this host's copy of the store may be outdated. It also returns the boot time as of which the copy of the upstreams is
+// complete.
+func (r *watchRelay) waitForChanges(m *link.Message) ([]link.PrefixState, time.Duration) {
 	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, maxChangesWait))
 	defer timer.Stop()
 	for {
-		states, changed := r.cache.changes(m.Prefixes)
+		states, confirmedAt, changed := r.cache.changes(m.Prefixes)
 		if len(states) > 0 || r.storeUnreachable() || !r.isCurrent() {
-			return states
+			return states, confirmedAt
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil
+			return nil, confirmedAt
 		}
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -66,6 +66,9 @@
 		Stale bool `cbor:"14,keyasint,omitempty"`
 		// Load is the load that the engine stated with the first event, or nil.
 		Load *topo.Load `cbor:"15,keyasint,omitempty"`
+		// ConfirmedMS is the time from the arrival of the request to the moment as of which the sender's copy of the
+		// upstreams is complete; it is negative if that was before.
+		ConfirmedMS int64 `cbor:"16,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
