Forget failed store calls of a prefix that is not called any more

Callers saw nothing; calls reached an engine up to 3.2 s after its departure (bound 2 s). A host that cannot reach the store marks the prefix as unreachable, and the first call that succeeds again counts as the end of an outage: for a second, removed entries get a grace period of 1.5 s, because they may have expired in the outage. A host that found a watch source meanwhile stopped its own calls and kept the mark. When its sources failed later, it watched the store itself, took this for the end of an outage that was long over, and used an engine that had left for 1.5 s more.

TestOldOutageGivesNoGrace failed before: upstreams "e1 e2", want e2.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -121,6 +121,7 @@
 	compacted := false
 	for ctx.Err() == nil {
 		if !watchesStore() {
+			sc.stopCalls(prefix)
 			clock.Sleep(ctx, roleInterval)
 			continue
 		}
@@ -275,6 +276,15 @@
 	}
 }
 
+// stopCalls records that this host makes no calls for a prefix, so that its next call is not taken for the end of an
+// outage.
+func (sc *storeCache) stopCalls(prefix string) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.states[prefix]
+	p.unreachable, p.failures = false, 0
+}
+
 // confirm records that the copy of a prefix is complete as of a boot time.
 func (sc *storeCache) confirm(prefix string, at time.Duration) {
 	sc.mu.Lock()
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,6 +142,38 @@
 	}
 }
 
+// Guards against calls to a departed upstream because a host that had stopped watching the store during an outage takes
+// its next own call, long after that outage, for the end of it.
+func TestOldOutageGivesNoGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &stub.Store{}
+		s.Set("up/e1", "llm ready")
+		s.Set("up/e2", "llm ready")
+		sc := testCache(s)
+		var idle atomic.Bool
+		go sc.run(ctx, "up/", func() bool { return !idle.Load() })
+		time.Sleep(time.Second)
+		s.Do(func() { s.Fault = func(string) error { return store.ErrNotExecuted } })
+		time.Sleep(2 * time.Second)
+		idle.Store(true)
+		time.Sleep(2 * time.Second)
+		s.Do(func() { s.Fault = nil })
+		time.Sleep(6 * time.Second)
+		if sc.unreachable() {
+			t.Error("the store counts as unreachable although this host does not call it")
+		}
+		s.Delete("up/e1")
+		idle.Store(false)
+		time.Sleep(2 * roleInterval)
+		if got := ids(sc); got != "e2" {
+			t.Errorf("upstreams %q, want e2", got)
+		}
+		cancel()
+		time.Sleep(15 * time.Second)
+	})
+}
+
 // Guards against losing changes when a host gets them from another host instead of from the store.
 func TestChanges(t *testing.T) {
 	withCache(t, func(s *stub.Store, sc *storeCache) {
