Bound the age of each host's copy of the upstreams

Calls reached an engine up to 2.9 s after it had announced its departure (bound 2 s). Each host learns of departures from two watch sources. Nothing bounded their sum, and a source that had lost the store called itself current.

The limit now comes from the target: a host watches the store itself when its copy is older than 0.45 of the drain time, plus at most 0.15 at random, whatever the reason. For this a watching host has its copy confirmed four times in the drain time, each confirmation is passed on to the hosts that follow it, and responses say as of when the copy is complete. This replaces the set of live sources and the wait for one. drain_ms is read from the settings.

Evidence: age_ms of up to 2.3 s on the host in touch. TestDeparturesAreKnownInTime failed before in 13 of 24 cases ("host-1 still uses e1 e2"). TestWaitForChanges allows one response without a change in the time between confirmations; TestLossOfBothWatchers also checks that all hosts turn to the store in time, and not at once.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -32,6 +32,8 @@
 	maxFailures = 2
 	// initialBackoff is the backoff after a failed call to the store.
 	initialBackoff = 100 * time.Millisecond
+	// minWatchWait is the shortest wait of a watch call for upstreams.
+	minWatchWait = 50 * time.Millisecond
 	// batchDelay is the pause after a watch call that returned changes of upstreams or hosts. The next call then
 	// returns several changes at once, which saves calls: the platform charges for each.
 	batchDelay = 400 * time.Millisecond
@@ -55,6 +57,7 @@
 	log      zerolog.Logger
 	elector  *elect.Elector
 	onChange func()
+	limits   ageLimits
 	// now returns the boot time, which includes the time for which the machine is suspended.
 	now func() time.Duration
 
@@ -96,9 +99,11 @@
 	originGrace = "grace period" // the grace period after an outage has ended
 )
 
-func newStoreCache(p *Platform, s *elect.Elector, st *stats.Set, log zerolog.Logger) *storeCache {
+func newStoreCache(
+	p *Platform, limits ageLimits, s *elect.Elector, st *stats.Set, log zerolog.Logger,
+) *storeCache {
 	sc := &storeCache{
-		platform: p, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
+		platform: p, limits: limits, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host), nextChange: make(chan struct{}),
 		retryNow: make(chan struct{}), now: clock.SinceBoot,
 	}
@@ -222,12 +227,16 @@
 
 func (sc *storeCache) watch(ctx context.Context, prefix string) error {
 	sc.mu.Lock()
-	after, wait := sc.states[prefix].revision, maxWatchWait
-	if sc.states[prefix].failures > 0 {
+	start := sc.now()
+	p := sc.states[prefix]
+	after, wait := p.revision, maxWatchWait
+	if prefix == sc.platform.UpstreamPrefix {
+		wait = max(p.confirmedAt+sc.limits.Confirm-start, minWatchWait)
+	}
+	if p.failures > 0 {
 		wait = probeWait
 	}
 	sc.mu.Unlock()
-	start := sc.now()
 	events, revision, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return err
@@ -285,12 +294,27 @@
 	p.unreachable, p.failures = false, 0
 }
 
-// confirm records that the copy of a prefix is complete as of a boot time.
+// confirm records that the copy of a prefix is complete as of a boot time. It wakes the hosts that wait for changes,
+// because they bound the age of their copies.
 func (sc *storeCache) confirm(prefix string, at time.Duration) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p := sc.states[prefix]
-	p.confirmedAt = max(p.confirmedAt, at)
+	if at <= p.confirmedAt {
+		return
+	}
+	p.confirmedAt = at
+	if prefix == sc.platform.UpstreamPrefix {
+		sc.notify()
+	}
+}
+
+// isCurrent reports whether the copy of the upstreams is not older than the limit.
+func (sc *storeCache) isCurrent() bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	at := sc.states[sc.platform.UpstreamPrefix].confirmedAt
+	return at > 0 && sc.now()-at <= sc.limits.Max
 }
 
 // origin returns the origin of changes that arrive now.
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -42,7 +42,7 @@
 
 func testCache(s store.Store) *storeCache {
 	st := &elect.Elector{Store: s, Log: zerolog.Nop(), LeadershipChanged: func(bool) {}}
-	sc := newStoreCache(testPlatform(s), st, &stats.Set{}, zerolog.Nop())
+	sc := newStoreCache(testPlatform(s), newAgeLimits(testDrainTime), st, &stats.Set{}, zerolog.Nop())
 	sc.onChange = func() {}
 	return sc
 }
@@ -211,18 +211,25 @@
 	})
 }
 
-// Guards against a request for changes that is answered late or without a change.
+// Guards against a request for changes that is answered late, or again and again without a change.
 func TestWaitForChanges(t *testing.T) {
 	withCache(t, func(s *stub.Store, sc *storeCache) {
 		r := &watchRelay{cache: sc, elector: sc.elector}
-		r.sources.setLive(time.Now(), "a", true)
 		known := slices.DeleteFunc(sc.knownRevisions(), func(l link.PrefixState) bool { return l.Prefix != "up/" })
 		go func() {
 			time.Sleep(300 * time.Millisecond)
 			s.Delete("up/e1")
 		}()
 		start := time.Now()
-		states, _ := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 2000})
+		var states []link.PrefixState
+		empty := 0
+		for ; len(states) == 0; empty++ {
+			states, _ = r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 2000})
+		}
+		// The store confirms the copy once in sc.limits.Confirm.
+		if empty > 2 {
+			t.Errorf("%d responses without a change", empty-1)
+		}
 		if took := time.Since(start); len(states) != 1 || took > 500*time.Millisecond {
 			t.Errorf("%d states after %v", len(states), took)
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -98,16 +98,17 @@
 		Self: self, Store: h.Platform.Store, Log: h.Log, HandoverDelay: s.HandoverDelay,
 		Rank: h.rank, RequestStepDown: h.requestStepDown, LeadershipChanged: h.leadershipChanged,
 	}
-	h.cache = newStoreCache(h.Platform, h.elector, h.Stats, h.Log)
+	limits := newAgeLimits(s.DrainTime)
+	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
 	h.tickets = newTicketService(s.Name, h.elector, h.Stats, h.Log)
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
 		self: self, cache: h.cache, elector: h.elector, seeds: s.Seeds, stats: h.Stats, log: h.Log,
-		now: clock.SinceBoot,
+		now: clock.SinceBoot, dial: link.Dial,
 	}
-	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds()}
+	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
 	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.OutageConfirmed = h.relay.outageConfirmed
 	h.reconciler = &reconciler{
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -18,10 +18,7 @@
 )
 
 const (
-	// maxChangesWait is how long a host holds a request for changes while there are none (long poll). With
-	// responseMargin it bounds how long a source that has gone silent counts as live.
-	maxChangesWait = time.Second
-	// responseMargin is how much longer than the requested wait the response may take.
+	// responseMargin is how much longer than the requested wait a response to a request for changes may take.
 	responseMargin = 400 * time.Millisecond
 	// sourceRetryDelay is the delay before a failed watch source is tried again.
 	sourceRetryDelay = 250 * time.Millisecond
@@ -42,7 +39,7 @@
 
 var (
 	errSourceLostStore = errors.New("the watch source cannot reach the store")
-	errSourceStale     = errors.New("the watch source neither watches the store nor follows a host that does")
+	errSourceStale     = errors.New("the watch source's copy of the store is too old")
 )
 
 // watchRelay distributes changes of the store among the hosts: a few hosts watch the store, and all others fetch the
@@ -57,6 +54,8 @@
 	log   zerolog.Logger
 	// now returns the boot time, which includes the time for which the machine is suspended.
 	now func() time.Duration
+	// dial connects to another host.
+	dial func(ctx context.Context, addr string) (*link.Conn, error)
 
 	mu                sync.Mutex
 	sources           sourceSet
@@ -133,7 +132,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateHosts()
-	return r.sources.watchesStore(time.Now())
+	return r.sources.watchesStore(r.cache.now())
 }
 
 // updateHosts passes the registered hosts to the sources if they have changed.
@@ -144,15 +143,6 @@
 	}
 }
 
-// isCurrent reports whether this host's copy of the store is current, so that other hosts may rely on it.
-func (r *watchRelay) isCurrent() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.updateHosts()
-	_, isWatcher := r.sources.choose()
-	return isWatcher || r.sources.hasLive()
-}
-
 // run follows the current watch sources until ctx ends. While this host cannot reach the store, it also asks other
 // hosts for changes, and as the leader whether they can reach the store.
 func (r *watchRelay) run(ctx context.Context) {
@@ -204,10 +194,8 @@
 
 // follow merges the changes of one watch source until ctx ends.
 func (r *watchRelay) follow(ctx context.Context, o topo.Host) {
-	defer r.setLive(o, false)
 	for ctx.Err() == nil {
 		err := r.followConn(ctx, o)
-		r.setLive(o, false)
 		if ctx.Err() == nil {
 			r.log.Info().Err(err).Str("source", o.Name).Msg("connection to watch source ended")
 			r.mu.Lock()
@@ -232,18 +220,17 @@
 // followConn merges the changes that one connection to a watch source brings. It ends when the connection fails, or
 // when the source has been out of date for sourceGrace although this host reaches the store.
 func (r *watchRelay) followConn(ctx context.Context, o topo.Host) error {
-	c, err := link.Dial(ctx, o.Link)
+	c, err := r.dial(ctx, o.Link)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	var outdatedSince time.Time
 	for ctx.Err() == nil {
-		if err := r.fetchChanges(ctx, c, maxChangesWait); err != nil {
+		if err := r.fetchChanges(ctx, c, r.cache.limits.Poll); err != nil {
 			if !errors.Is(err, errSourceLostStore) && !errors.Is(err, errSourceStale) {
 				return err
 			}
-			r.setLive(o, false)
 			if outdatedSince.IsZero() {
 				outdatedSince = time.Now()
 			}
@@ -255,7 +242,6 @@
 			continue
 		}
 		outdatedSince = time.Time{}
-		r.setLive(o, true)
 	}
 	return ctx.Err()
 }
@@ -273,7 +259,9 @@
 		return err
 	}
 	r.cache.merge(m.Prefixes, m.Host)
-	r.cache.confirm(r.cache.platform.UpstreamPrefix, start+time.Duration(m.ConfirmedMS)*time.Millisecond)
+	if !m.Stale {
+		r.confirm(start + time.Duration(m.ConfirmedMS)*time.Millisecond)
+	}
 	r.noteStore(m.StoreUnreachable)
 	if m.StoreUnreachable {
 		return errSourceLostStore
@@ -300,10 +288,12 @@
 	}
 }
 
-func (r *watchRelay) setLive(o topo.Host, live bool) {
+// confirm records that the copy of the upstreams is complete as of a boot time, as another host says.
+func (r *watchRelay) confirm(at time.Duration) {
+	r.cache.confirm(r.cache.platform.UpstreamPrefix, at)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sources.setLive(time.Now(), o.Link, live)
+	r.sources.confirm(at)
 }
 
 // fetchFromAny fetches changes from one of the seeds and other hosts, chosen by n modulo their number, so that calls
@@ -327,7 +317,7 @@
 func (r *watchRelay) fetchOnce(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, responseMargin)
 	defer cancel()
-	c, err := link.Dial(ctx, addr)
+	c, err := r.dial(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -342,7 +332,7 @@
 		states, confirmedAt := r.waitForChanges(m)
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
-			Stale: !r.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
+			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
 		}
 		if err := c.Send(response); err != nil {
 			return
@@ -354,15 +344,16 @@
 	}
 }
 
-// waitForChanges returns the changes that the request asks for, or none if there are none within its wait or as soon as
-// this host's copy of the store may be outdated. It also returns the boot time as of which the copy of the upstreams is
-// complete.
+// waitForChanges returns the changes that the request asks for. It returns none after the requested wait, when the copy
+// of the upstreams has been confirmed, or as soon as it may be outdated. It also returns the boot time as of which that
+// copy is complete.
 func (r *watchRelay) waitForChanges(m *link.Message) ([]link.PrefixState, time.Duration) {
-	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, maxChangesWait))
+	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, r.cache.limits.Poll))
 	defer timer.Stop()
+	_, before, _ := r.cache.changes(nil)
 	for {
 		states, confirmedAt, changed := r.cache.changes(m.Prefixes)
-		if len(states) > 0 || r.storeUnreachable() || !r.isCurrent() {
+		if len(states) > 0 || confirmedAt > before || r.storeUnreachable() || !r.cache.isCurrent() {
 			return states, confirmedAt
 		}
 		select {
--- a/internal/host/source.go
+++ b/internal/host/source.go
@@ -12,10 +12,10 @@
 const (
 	// maxWatchers is how many hosts watch the store for all others, in different failure domains where possible.
 	maxWatchers = 2
-	// sourceWait is how long a host waits for a live source before it watches the store itself. takeoverSpread is
-	// added at random for each registered host, so that the hosts of a large fleet do not all turn to the store when
-	// its watchers are lost.
-	sourceWait     = 400 * time.Millisecond
+	// sourceWait is how long a starting host waits for a source before it watches the store itself.
+	sourceWait = 400 * time.Millisecond
+	// takeoverSpread is the range, for each registered host, of the random delay after which a host without a current
+	// source watches the store itself; ageLimits.Takeover bounds it.
 	takeoverSpread = 5 * time.Millisecond
 	// probeInterval is the time between two probes of failed sources; maxProbes is how many are probed.
 	probeInterval = time.Second
@@ -28,15 +28,16 @@
 	Self string // name of this host
 	// WaitsAtStart delays this host's own calls to the store when it starts, while it asks its seeds.
 	WaitsAtStart bool
-
-	leader    string          // name of the leader, or empty
-	order     []topo.Host     // all hosts in the order in which they are chosen
-	chosen    []topo.Host     // the hosts that watch the store; nil if they must be chosen again
-	live      map[string]bool // sources that respond and are current, by address
-	failed    map[string]bool // hosts that failed as sources, by address
-	probedAt  time.Time
-	noneSince time.Time     // since when there has been no live source, zero while there is one
-	wait      time.Duration // how long this host waits for a live source from then on
+	Limits       ageLimits
+
+	leader      string          // name of the leader, or empty
+	order       []topo.Host     // all hosts in the order in which they are chosen
+	chosen      []topo.Host     // the hosts that watch the store; nil if they must be chosen again
+	failed      map[string]bool // hosts that failed as sources, by address
+	probedAt    time.Time
+	started     bool
+	confirmedAt time.Duration // boot time as of which some source has confirmed the copy of the upstreams
+	place       float64       // this host's place among those that turn to the store, from 0 to 1
 }
 
 // setHosts sets the registered hosts.
@@ -88,46 +89,34 @@
 	return out
 }
 
-// watchesStore reports whether this host watches the store itself.
-func (s *sourceSet) watchesStore(now time.Time) bool {
+// watchesStore reports whether this host watches the store itself at a boot time.
+func (s *sourceSet) watchesStore(now time.Duration) bool {
+	if !s.started {
+		s.start(now)
+	}
 	if _, isWatcher := s.choose(); isWatcher {
 		return true
 	}
-	if s.hasLive() {
-		return false
-	}
-	if s.noneSince.IsZero() {
-		s.startWait(now, len(s.order))
-	}
-	return now.Sub(s.noneSince) >= s.wait
-}
-
-func (s *sourceSet) startWait(now time.Time, hosts int) {
-	s.noneSince = now
-	s.wait = sourceWait + time.Duration(rand.Float64()*float64(hosts)*float64(takeoverSpread))
-	if hosts == 0 && !s.WaitsAtStart {
-		s.wait = 0
-	}
+	delay := min(time.Duration(len(s.order))*takeoverSpread, s.Limits.Takeover)
+	return now-s.confirmedAt >= s.Limits.Max+time.Duration(s.place*float64(delay))
 }
 
-func (s *sourceSet) hasLive() bool { return len(s.live) > 0 }
-
-// setLive records whether a source responds and is current.
-func (s *sourceSet) setLive(now time.Time, addr string, live bool) {
-	if !live {
-		if s.live[addr] && len(s.live) == 1 {
-			s.noneSince = time.Time{}
-		}
-		delete(s.live, addr)
-		return
+// start lets this host wait for a source for sourceWait, or not at all if it knows no host.
+func (s *sourceSet) start(now time.Duration) {
+	s.started = true
+	s.place = rand.Float64()
+	wait := sourceWait
+	if len(s.order) == 0 && !s.WaitsAtStart {
+		wait = 0
 	}
-	if s.live == nil {
-		s.live = make(map[string]bool)
+	if s.confirmedAt == 0 {
+		s.confirmedAt = now + wait - s.Limits.Max
 	}
-	s.live[addr] = true
-	s.noneSince = time.Time{}
 }
 
+// confirm records that the copy of the upstreams is complete as of a boot time, as a source says.
+func (s *sourceSet) confirm(at time.Duration) { s.confirmedAt = max(s.confirmedAt, at) }
+
 // fail leaves a host out of the sources until restore is called.
 func (s *sourceSet) fail(addr string) {
 	if s.failed == nil {
--- a/internal/host/source_test.go
+++ b/internal/host/source_test.go
@@ -88,20 +88,19 @@
 	observer := &sourceSet{Self: "self"}
 	observer.setHosts(hosts)
 	lost, _ := observer.choose()
-	now := time.Unix(1000, 0)
+	now := time.Hour
+	limits := newAgeLimits(testDrainTime)
 	sets := make([]*sourceSet, 0, n)
 	for _, o := range hosts {
 		if slices.ContainsFunc(lost, func(l topo.Host) bool { return l.Name == o.Name }) {
 			continue
 		}
-		s := &sourceSet{Self: o.Name}
+		s := &sourceSet{Self: o.Name, Limits: limits}
 		s.setHosts(hosts)
-		for _, l := range lost {
-			s.setLive(now, l.Link, true)
-		}
+		s.confirm(now)
 		sets = append(sets, s)
 	}
-	count := func(at time.Time) (watching int) {
+	count := func(at time.Duration) (watching int) {
 		for _, s := range sets {
 			if s.watchesStore(at) {
 				watching++
@@ -114,23 +113,26 @@
 	}
 	for _, s := range sets {
 		for _, l := range lost {
-			s.setLive(now, l.Link, false)
 			s.fail(l.Link)
 		}
 	}
-	if got := count(now.Add(sourceWait)); got != maxWatchers {
+	if got := count(now + limits.Max - 1); got != maxWatchers {
 		t.Errorf("%d hosts watch the store just after the loss, want the %d next ones", got, maxWatchers)
 	}
+	if got := count(now + limits.Max + limits.Takeover/2); got > n*2/3 {
+		t.Errorf("%d hosts without a source turn to the store in half of the takeover time", got)
+	}
+	if got := count(now + limits.Max + limits.Takeover); got != n-maxWatchers {
+		t.Errorf("%d hosts without a source turn to the store in time, want all %d", got, n-maxWatchers)
+	}
 	for _, s := range sets {
 		sources, isWatcher := s.choose()
 		if !isWatcher && len(sources) != maxWatchers {
 			t.Fatalf("%s has %d sources", s.Self, len(sources))
 		}
-		for _, o := range sources {
-			s.setLive(now.Add(sourceWait), o.Link, true)
-		}
+		s.confirm(now + 10*time.Second)
 	}
-	if got := count(now.Add(10 * time.Second)); got != maxWatchers {
+	if got := count(now + 10*time.Second); got != maxWatchers {
 		t.Errorf("%d hosts watch the store later, want %d", got, maxWatchers)
 	}
 }
@@ -138,7 +140,7 @@
 // Guards against a host that stays without changes when no source is live, and against one that calls the store at its
 // start although its seeds may know the state.
 func TestWatchesStoreWithoutSource(t *testing.T) {
-	now := time.Unix(1000, 0)
+	now := time.Hour
 	hosts := fleetOf(10)
 	for _, tt := range []struct {
 		name  string
@@ -155,9 +157,10 @@
 		{"a watcher", &sourceSet{Self: "host-000"}, hosts, 0, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			tt.set.Limits = newAgeLimits(testDrainTime)
 			tt.set.setHosts(tt.hosts)
 			tt.set.watchesStore(now)
-			if got := tt.set.watchesStore(now.Add(tt.after)); got != tt.want {
+			if got := tt.set.watchesStore(now + tt.after); got != tt.want {
 				t.Errorf("watches the store: %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -23,6 +23,7 @@
 		StoreAddr     string
 		MetricsAddr   string        // address of the metrics endpoint
 		Grace         time.Duration // from the stop signal until the process is killed
+		DrainTime     time.Duration // from the departure of an upstream until it must get no more calls
 		RetryRatio    float64       // retries allowed per call
 		RetryWindow   time.Duration
 		RetrySlack    float64       // retries allowed in each window on top of the ratio
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -62,12 +62,12 @@
 		WaitMS         int64              `cbor:"12,keyasint,omitempty"`
 		// StoreUnreachable is set if the sender itself cannot reach the store.
 		StoreUnreachable bool `cbor:"13,keyasint,omitempty"`
-		// Stale is set if the sender neither watches the store nor follows a host that does.
+		// Stale is set if the sender's copy of the upstreams is too old to rely on.
 		Stale bool `cbor:"14,keyasint,omitempty"`
 		// Load is the load that the engine stated with the first event, or nil.
 		Load *topo.Load `cbor:"15,keyasint,omitempty"`
 		// ConfirmedMS is the time from the arrival of the request to the moment as of which the sender's copy of the
-		// upstreams is complete; it is negative if that was before.
+		// upstreams is complete; it is negative if that was before. It has no meaning if Stale is set.
 		ConfirmedMS int64 `cbor:"16,keyasint,omitempty"`
 	}
 
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host at %s", addr)
 	}
-	return newConn(nc), nil
+	return NewConn(nc), nil
 }
 
 // Listen accepts connections of other hosts until ctx ends and calls serve for each in its own goroutine.
@@ -115,7 +115,7 @@
 			}
 			return errors.Wrap(err, "accept connection of host")
 		}
-		go serve(newConn(nc))
+		go serve(NewConn(nc))
 	}
 }
 
@@ -155,6 +155,7 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
-func newConn(nc net.Conn) *Conn {
+// NewConn returns a connection to another host over an established transport.
+func NewConn(nc net.Conn) *Conn {
 	return &Conn{nc: nc, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(nc)}
 }
