Send no call to an engine that this host knows to have left

An entry host used the leader's grant as it came. While the leader's copy of the upstreams was older than the host's own, for instance during trouble of the store that hit the leader only, calls went to engines whose departure the host had acknowledged itself. The host now returns such a ticket to the leader and schedules the call itself; an engine that it has not heard of is still used.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -535,6 +535,22 @@
 	return out
 }
 
+// departed reports whether an upstream is known to be leaving or removed. One that this host has not heard of is not.
+func (sc *storeCache) departed(id string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.states[sc.platform.UpstreamPrefix]
+	key := p.prefix + id
+	if u := sc.upstreams[key]; u != nil {
+		return u.Leaving
+	}
+	if _, listed := p.items[key]; listed {
+		// The entry is invalid.
+		return true
+	}
+	return slices.ContainsFunc(p.deletions, func(e store.Event) bool { return e.Key == key })
+}
+
 // Hosts returns the registered hosts, sorted by name.
 func (sc *storeCache) Hosts() []topo.Host {
 	sc.mu.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -101,6 +101,7 @@
 	limits := newAgeLimits(s.DrainTime)
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
 	h.tickets = newTicketService(s.Name, h.elector, h.Stats, h.Log)
+	h.tickets.departed = h.cache.departed
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -38,6 +38,8 @@
 	elector *elect.Elector
 	stats   *stats.Set
 	log     zerolog.Logger
+	// departed reports whether an engine has left as far as this host knows.
+	departed func(engine string) bool
 	// loadAdapters orders adapter loads that the scheduler asks for.
 	loadAdapters func([]sched.AdapterLoad)
 
@@ -244,7 +246,8 @@
 	}
 }
 
-// requestRemote requests a ticket from the leader; the bool is false if the leader does not reply.
+// requestRemote requests a ticket from the leader; the bool is false if the leader does not reply or grants an engine
+// that has left.
 func (s *ticketService) requestRemote(ctx context.Context, leader *link.Conn, req sched.Request) (
 	sched.Decision, bool, error,
 ) {
@@ -276,8 +279,15 @@
 				timer.Stop()
 				continue
 			}
-			s.restore(req, decision)
 			returned = true
+			if decision.Kind == sched.Granted && s.departed(decision.Grant.Engine) {
+				s.log.Warn().Str("call", req.Call).Str("upstream", decision.Grant.Engine).
+					Msg("leader granted a departed engine")
+				s.stats.CountEvent("departed_grant")
+				s.releaseAtLeader(leader, decision.Grant)
+				return sched.Decision{}, false, nil
+			}
+			s.restore(req, decision)
 			return decision, true, nil
 		case <-timer.C:
 			s.mu.Lock()
@@ -302,9 +312,7 @@
 				return
 			}
 			if decision.Kind == sched.Granted {
-				s.send(leader, &link.Message{
-					Kind: link.Release, Ticket: decision.Grant.Ticket, Outcome: sched.Canceled,
-				})
+				s.releaseAtLeader(leader, decision.Grant)
 			}
 		default:
 			return
@@ -312,6 +320,11 @@
 	}
 }
 
+// releaseAtLeader returns a ticket of the leader that was not used.
+func (s *ticketService) releaseAtLeader(leader *link.Conn, g sched.Grant) {
+	s.send(leader, &link.Message{Kind: link.Release, Ticket: g.Ticket, Outcome: sched.Canceled})
+}
+
 // restore adds to the local scheduler a ticket that the leader granted, because the local scheduler has to know this
 // host's calls when it schedules without the leader.
 func (s *ticketService) restore(req sched.Request, decision sched.Decision) {
@@ -399,7 +412,7 @@
 		}
 		s.mu.Unlock()
 		if reply == nil && m.Decision.Kind == sched.Granted {
-			s.send(c, &link.Message{Kind: link.Release, Ticket: m.Decision.Grant.Ticket, Outcome: sched.Canceled})
+			s.releaseAtLeader(c, m.Decision.Grant)
 		}
 	}
 }
