Log the prompt segments of calls whose engine connection broke

The logs did not say what calls had in common that broke their engines, nor whether such a call had got an event. One warning for each broken attempt, bounded by the retry budget; no decision changes.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -89,6 +90,7 @@
 	}
 	c.attempts++
 	if err != nil {
+		c.logBroken(g, err)
 		return c.handleFailure(), c.failureOutcome()
 	}
 	if res.Status == http.StatusOK && c.route.Kind == topo.Stream {
@@ -96,6 +98,7 @@
 	}
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
+		c.logBroken(g, err)
 		return c.handleFailure(), c.failureOutcome()
 	}
 	outcome := sched.Served
@@ -144,11 +147,26 @@
 			c.logEnd(res.Status, "")
 			return completed, sched.Served
 		default:
+			c.logBroken(g, err)
 			return c.handleTruncated()
 		}
 	}
 }
 
+// logBroken logs an attempt whose connection broke, with what tells calls apart that break engines from calls that only
+// shared an engine with them.
+func (c *call) logBroken(g sched.Grant, err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	segments := make([]string, 0, len(c.spec.Segments))
+	for _, s := range c.spec.Segments {
+		segments = append(segments, strconv.FormatUint(s.ID, 16))
+	}
+	c.s.Log.Warn().Err(err).Str("call", c.id).Str("upstream", g.Engine).Bool("first_event", c.firstEventSent).
+		Strs("segments", segments).Msg("connection to engine broke")
+}
+
 // handleTruncated handles a stream that ended before it was complete; another engine continues it if it is resumable.
 func (c *call) handleTruncated() (attemptResult, sched.Outcome) {
 	outcome := c.failureOutcome()
