Quarantine prompt segments that crash engines

Class of fault: poison message. The scheduler knew that attempts failed, not what the calls had in common, so it backed off from the engine and sent the next such call to another one.

The scheduler now keeps evidence per prompt segment (internal/poison): engines that broke at different times under calls that had got no event count against the shared segments of these calls, and every served call clears its segments. Three engines under two different calls quarantine a segment; calls with it are rejected at once as not executed. If several segments explain the crashes, only calls with all of them are rejected until one is cleared. Hosts pass quarantines on with the changes of the store, and the leader tests each after 30 s and then at doubled times. A broken connection is now an outcome of its own, different from an error response or a refused connection.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -72,6 +72,7 @@
 		script := strings.ReplaceAll(<-next, "$ID", r.Header.Get("X-Id"))
 		before, _, reset := strings.Cut(script, "RESET")
 		before, _, hang := strings.Cut(before, "HANG")
+		before, _, closed := strings.Cut(before, "CLOSE")
 		_, _ = io.WriteString(nc, crlf.Replace(before))
 		if hang {
 			_, _ = br.ReadByte()
@@ -82,6 +83,9 @@
 			_ = nc.(*net.TCPConn).SetLinger(0)
 			return
 		}
+		if closed {
+			return
+		}
 	}
 }
 
@@ -262,6 +266,8 @@
 func TestStream(t *testing.T) {
 	firstPart := join(sseHeader, chunk(event("1")))
 	secondPart := join(sseHeader, chunk(event("2")), "0\n\n")
+	unframed := strings.Replace(sseHeader, "Transfer-Encoding: chunked\n", "", 1) +
+		strings.ReplaceAll(event("1"), "\n", "\x00")
 	for _, tt := range []struct {
 		name      string
 		resumable bool
@@ -277,6 +283,9 @@
 		{"resumed at an engine that fails", true, []string{firstPart + "RESET", serverError}, event("1"), false, "1"},
 		{"resumed at an engine that rejects", true, []string{firstPart + "RESET", notExecuted}, event("1"), false, "1"},
 		{"ended within an event", false, []string{firstPart + "5\nid: 2\n0\n\n"}, event("1"), false, ""},
+		{"ended by its connection", false, []string{unframed + "CLOSE"}, event("1"), true, ""},
+		{"ended by its connection within an event", false, []string{unframed + "id: 2CLOSE"}, event("1"), false, ""},
+		{"ended by a reset", false, []string{unframed + "RESET"}, event("1"), false, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var engines []*upstream
@@ -301,6 +310,49 @@
 	}
 }
 
+// Guards against an engine that is blamed for a call that it did not get or answered itself, and against one that broke
+// under a call and is not.
+func TestOutcomeOfAttempt(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		script string // empty if nothing listens at the engine's address
+		want   sched.Outcome
+	}{
+		{"complete", join(sseHeader, chunk(event("1")), "0\n\n"), sched.Served},
+		{"closed before the response", "CLOSE", sched.Broken},
+		{"reset in the header", "HTTP/1.1 200 OK\nX-Id:RESET", sched.Broken},
+		{"closed before the first event", sseHeader + "CLOSE", sched.Broken},
+		{"closed after an event", join(sseHeader, chunk(event("1")), "CLOSE"), sched.Broken},
+		{"error response", serverError, sched.Failed},
+		{"rejected", notExecuted, sched.NotExecuted},
+		{"connection refused", "", sched.Failed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			engine := &upstream{addr: unusedAddr(t)}
+			if tt.script != "" {
+				engine = newUpstream(t, tt.script)
+			}
+			srv, tk := newServer(t, config(topo.Stream, false, 1), nil, []*upstream{engine}, 0)
+			_, _, _, _ = send(t, srv.URL, "/m/x", "body")
+			srv.Close()
+			if len(tk.outcomes) != 1 || tk.outcomes[0] != tt.want {
+				t.Errorf("outcomes %v, want %v", tk.outcomes, tt.want)
+			}
+		})
+	}
+}
+
+// unusedAddr returns an address at which nothing listens.
+func unusedAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 // Guards against headers of callers that only hosts may set, a changed request, and a deadline longer than the time
 // that remains.
 func TestForwarded(t *testing.T) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -86,12 +86,12 @@
 	res, err := c.s.Pool.Do(c.ctx, c.upstreamRequest(g.Addr, g.Engine))
 	if errors.Is(err, h1.ErrNotSent) {
 		c.s.Stats.CountRetry("not_sent")
-		return tryNext, c.failureOutcome()
+		return tryNext, c.failureOutcome(sched.Failed)
 	}
 	c.attempts++
 	if err != nil {
 		c.logBroken(g, err)
-		return c.handleFailure(), c.failureOutcome()
+		return c.handleFailure(), c.failureOutcome(sched.Broken)
 	}
 	if res.Status == http.StatusOK && c.route.Kind == topo.Stream {
 		return c.relayStream(res, g)
@@ -99,7 +99,7 @@
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
 		c.logBroken(g, err)
-		return c.handleFailure(), c.failureOutcome()
+		return c.handleFailure(), c.failureOutcome(sched.Broken)
 	}
 	outcome := sched.Served
 	switch {
@@ -113,12 +113,12 @@
 	return c.handleResponse(res, body), outcome
 }
 
-// failureOutcome returns Canceled for a failure after the call's context ended, and Failed for one of the upstream.
-func (c *call) failureOutcome() sched.Outcome {
+// failureOutcome returns Canceled for a failure after the call's context ended, and otherwise that of the upstream.
+func (c *call) failureOutcome(ofUpstream sched.Outcome) sched.Outcome {
 	if c.ctx.Err() != nil {
 		return sched.Canceled
 	}
-	return sched.Failed
+	return ofUpstream
 }
 
 // relayStream relays events until the stream ends; the response header is sent with the first event. There is no limit
@@ -169,7 +169,7 @@
 
 // handleTruncated handles a stream that ended before it was complete; another engine continues it if it is resumable.
 func (c *call) handleTruncated() (attemptResult, sched.Outcome) {
-	outcome := c.failureOutcome()
+	outcome := c.failureOutcome(sched.Broken)
 	if c.callerLeft() {
 		c.logEnd(0, reasonCallerLeft)
 		return c.abort(), outcome
--- a/internal/host/departure_test.go
+++ b/internal/host/departure_test.go
@@ -76,7 +76,8 @@
 		e.Rank = func(previous string) int { return rankOf(h.cache.Hosts(), h.name, previous) }
 		e.RequestStepDown = func(context.Context, elect.Leader) (time.Duration, error) { return 0, errNoConnection }
 		h.relay = &watchRelay{
-			self: self, cache: h.cache, elector: e, stats: h.cache.stats, log: h.cache.log, now: now, dial: h.dial,
+			self: self, cache: h.cache, elector: e, tickets: testTickets(), stats: h.cache.stats, log: h.cache.log,
+			now: now, dial: h.dial,
 		}
 		h.relay.sources = sourceSet{Self: h.name, Limits: h.cache.limits}
 		f.hosts = append(f.hosts, h)
@@ -256,3 +257,38 @@
 		}
 	}
 }
+
+// Guards against hosts that send calls that crash engines because only the leader knows of the quarantine, and against a
+// quarantine that is lost with the host that has begun it.
+func TestQuarantineReachesAllHosts(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const contactTime = 3 * time.Second
+	spec := &topo.CallSpec{Segments: []topo.PromptSegment{{ID: 1}, {ID: 2}}}
+	for i := range 6 {
+		t.Run(fmt.Sprint("host-", i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				f := newFleet(ctx, 6)
+				first := f.hosts[i].relay.tickets
+				first.mu.Lock()
+				for n := range uint64(3) {
+					segments := []topo.PromptSegment{{ID: 1}, {ID: 100 + n}}
+					at := time.Now().Add(time.Duration(n) * time.Second)
+					first.scheduler.Poison.Broken(at, at, fmt.Sprint(n), segments)
+				}
+				first.mu.Unlock()
+				time.Sleep(contactTime / 2)
+				f.hosts[i].silent.Store(true)
+				time.Sleep(contactTime / 2)
+				for _, h := range f.hosts {
+					if !h.relay.tickets.blocks(spec) {
+						t.Errorf("%s does not know of the quarantine", h.name)
+					}
+				}
+				f.heal()
+				cancel()
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -49,6 +49,7 @@
 		s.scheduler.Release(time.Now(), m.Ticket, m.Outcome)
 		delete(f.tickets, m.Ticket)
 		s.mu.Unlock()
+		s.logQuarantines(s.self)
 		s.wake()
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,7 +106,7 @@
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
-		self: self, cache: h.cache, elector: h.elector, seeds: s.Seeds, stats: h.Stats, log: h.Log,
+		self: self, cache: h.cache, elector: h.elector, tickets: h.tickets, seeds: s.Seeds, stats: h.Stats, log: h.Log,
 		now: clock.SinceBoot, dial: link.Dial,
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -42,12 +42,13 @@
 	errSourceStale     = errors.New("the watch source's copy of the store is too old")
 )
 
-// watchRelay distributes changes of the store among the hosts: a few hosts watch the store, and all others fetch the
-// changes from them (their watch sources). A host without a live source watches the store itself after a while.
+// watchRelay distributes changes of the store, and what hosts know of quarantines, among the hosts: a few hosts watch
+// the store, and all others fetch the changes from them (their watch sources). A host without a live source watches the store itself after a while.
 type watchRelay struct {
 	self    topo.Host
 	cache   *storeCache
 	elector *elect.Elector
+	tickets *ticketService
 	// seeds are the addresses of hosts to ask before any host is known.
 	seeds []string
 	stats *stats.Set
@@ -254,11 +255,13 @@
 	start := r.cache.now()
 	m, err := c.RoundTrip(ctx, &link.Message{
 		Kind: link.GetChanges, Host: r.self.Name, Prefixes: r.cache.knownRevisions(), WaitMS: wait.Milliseconds(),
+		Quarantines: r.tickets.quarantines(),
 	})
 	if err != nil {
 		return err
 	}
 	r.cache.merge(m.Prefixes, m.Host)
+	r.tickets.mergeQuarantines(m.Quarantines, m.Host)
 	if !m.Stale {
 		r.confirm(start + time.Duration(m.ConfirmedMS)*time.Millisecond)
 	}
@@ -329,10 +332,12 @@
 func (r *watchRelay) serve(c *link.Conn, m *link.Message) {
 	for m.Kind == link.GetChanges {
 		arrived := r.cache.now()
+		r.tickets.mergeQuarantines(m.Quarantines, m.Host)
 		states, confirmedAt := r.waitForChanges(m)
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
 			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
+			Quarantines: r.tickets.quarantines(),
 		}
 		if err := c.Send(response); err != nil {
 			return
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -74,7 +74,7 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
-	if leader := s.usableLeaderConn(); leader != nil {
+	if leader := s.usableLeaderConn(); leader != nil && !s.blocks(&req.Spec) {
 		decision, ok, err := s.requestRemote(ctx, leader, req)
 		if ok || err != nil {
 			return decision, err
@@ -106,6 +106,7 @@
 	s.scheduler.Release(time.Now(), g.Ticket, outcome)
 	leader := s.leaderConn
 	s.mu.Unlock()
+	s.logQuarantines(s.self)
 	s.wake()
 	s.send(leader, &link.Message{Kind: link.Release, Ticket: g.Ticket, Outcome: outcome})
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -25,6 +25,9 @@
 	if left <= 0 {
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
+	if !p.probe && s.Poison.Blocks(p.Spec.Segments) {
+		return s.reject(p, ReasonQuarantine, maxRetryAfter)
+	}
 	if dec, ok := s.waitForAdapter(now, p); ok {
 		return dec
 	}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/figreel/figreel/internal/topo"
@@ -48,6 +49,9 @@
 	}
 }
 
+// instance identifies the engine process since its last start.
+func (e *engine) instance() string { return e.ID + "@" + strconv.FormatInt(e.Boot, 10) }
+
 // setModels applies the resident models and adapters that the engine reports, and its adapter loads in progress. It
 // reports whether the resident or loading models have changed.
 func (e *engine) setModels(now time.Time, list []topo.Resident, loading map[topo.Adapter]bool) (changed bool) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -104,6 +105,8 @@
 	PlacementFrom time.Time
 	// FirstTicket is the base of ticket IDs; it keeps them distinct from those of other schedulers.
 	FirstTicket uint64
+	// Poison holds the prompt segments that crash engines.
+	Poison poison.Table
 
 	config       *topo.Config
 	models       map[modelKey]*topo.Model
@@ -258,6 +261,8 @@
 		s.addDemand(now, &q)
 	}
 	p := newPending(now, q)
+	// Only the host that places models tests a quarantine, so that a fleet does not test it all at once.
+	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(q.Spec.Segments) && s.Poison.Probe(now, q.Spec.Segments)
 	p.prefill = s.unsharedPrefill(&q.Spec)
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
@@ -372,16 +377,19 @@
 	e := t.engine
 	e.removeTicket(now, t)
 	switch outcome {
-	case Served, Canceled:
-		if outcome == Served {
-			e.failures = 0
-		}
+	case Canceled:
+	case Served:
+		e.failures = 0
+		s.Poison.Served(now, t.request.Spec.Segments)
 	case NotResident:
 		if k := t.adapterKey(); k.Name != "" {
 			delete(e.adapters, k)
 		}
 		e.notResidentUntil[t.request.Spec.Model] = now.Add(notResidentTime)
-	case Failed:
+	case Failed, Broken:
+		if outcome == Broken && !t.firstEvent {
+			s.Poison.Broken(now, t.granted, e.instance(), t.request.Spec.Segments)
+		}
 		e.failures++
 		e.backoffUntil = now.Add(min(initialBackoff<<min(e.failures-1, 8), maxBackoff))
 		e.cache = newCache(e.cache.capacity)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -20,6 +20,8 @@
 	ReasonNoReplica = "no_copy_in_time"
 	// ReasonOverload rejects a call that no engine is expected to serve in time.
 	ReasonOverload = "overloaded"
+	// ReasonQuarantine rejects a call with prompt segments that crash engines.
+	ReasonQuarantine = "quarantined_prompt"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -31,10 +33,12 @@
 	NotExecuted
 	// NotResident is the outcome of an attempt that the engine rejected because the model or adapter is not resident.
 	NotResident
-	// Failed is the outcome of an attempt that ended in a connection failure or an error response of the engine.
+	// Failed is the outcome of an attempt that the engine did not get or that ended in its error response.
 	Failed
 	// Canceled is the outcome of a call whose client disconnected or whose deadline passed.
 	Canceled
+	// Broken is the outcome of an attempt whose connection ended before its response was complete.
+	Broken
 )
 
 type (
@@ -135,6 +139,7 @@
 		deadline   time.Time     // when the caller leaves if it has got no event
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
+		probe      bool          // the call tests a quarantine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
 	}
 )
