Keep expired upstreams only after an outage that other hosts confirm

A host kept removed upstreams for 1.5 s after its own store calls had failed, also if only its own path to the store was lost, in which case the upstreams had left. And a host that heard of the removals from another one before it reached the store itself kept none, although they had expired in the outage.

The grace period now follows from what hosts tell each other: it holds if, since the copy of the upstreams was last confirmed, another host has said that it cannot reach the store either (or there is no other host), and for a second after the copy is confirmed again.

TestGraceNeedsConfirmedOutage failed before in its row 'no other host responds' (upstreams "e1 e2", want e2), and TestEntriesExpiredInOutageStayInUse with 'host-2 uses "e2" 1100 ms after the outage'. testCache has a virtual clock.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -46,7 +46,7 @@
 	// store. Those that are alive write their entries again within about two seconds; any other has left and must get
 	// no further calls.
 	gracePeriod = 1500 * time.Millisecond
-	// graceWindow is how long after an outage of the store deleted entries get the grace period.
+	// graceWindow is how long after an outage of the store deleted entries still get the grace period.
 	graceWindow = time.Second
 )
 
@@ -67,7 +67,8 @@
 	upstreams   map[string]*topo.Upstream
 	hosts       map[string]topo.Host
 	hostsChange int           // number of changes of hosts
-	storeBackAt time.Time     // when the store was last reachable again after an outage
+	outageAt    time.Duration // boot time at which an outage of the store was last confirmed, 0 if there is none
+	outageEnd   time.Duration // boot time at which the copy was first confirmed after an outage, 0 before
 	nextChange  chan struct{} // closed at the next change
 	retryNow    chan struct{} // closed when calls to the store should be tried again at once
 }
@@ -262,6 +263,9 @@
 		p.unreachable = true
 		sc.notify()
 	}
+	if p.unreachable && !sc.knowsOthers() {
+		sc.outageAt = sc.now()
+	}
 	sc.mu.Unlock()
 	if lost {
 		sc.log.Warn().Err(err).Str("prefix", prefix).Msg("store unreachable")
@@ -275,9 +279,6 @@
 	p := sc.states[prefix]
 	was := p.unreachable
 	p.unreachable, p.failures = false, 0
-	if was {
-		sc.storeBackAt = time.Now()
-	}
 	sc.mu.Unlock()
 	if was {
 		sc.log.Info().Str("prefix", prefix).Msg("store reachable again")
@@ -285,13 +286,33 @@
 	}
 }
 
-// stopCalls records that this host makes no calls for a prefix, so that its next call is not taken for the end of an
-// outage.
+// stopCalls records that this host makes no calls for a prefix, because its sources are current. So its next call is not
+// taken for the end of an outage.
 func (sc *storeCache) stopCalls(prefix string) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p := sc.states[prefix]
 	p.unreachable, p.failures = false, 0
+	sc.outageAt = 0
+}
+
+// confirmOutage records that another host cannot reach the store either while this one cannot. Entries may expire in an
+// outage of the store although their owners live; the loss of this host's own path to the store says nothing of them.
+func (sc *storeCache) confirmOutage() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.outageAt = sc.now()
+}
+
+// knowsOthers reports whether another host is registered that could confirm an outage.
+func (sc *storeCache) knowsOthers() bool {
+	_, registered := sc.hosts[elect.HostPrefix+sc.elector.Self.Name]
+	return len(sc.hosts) > 1 || len(sc.hosts) == 1 && !registered
+}
+
+// inOutage reports whether an outage of the store has been confirmed since the copy of the upstreams was.
+func (sc *storeCache) inOutage() bool {
+	return sc.outageAt > sc.states[sc.platform.UpstreamPrefix].confirmedAt
 }
 
 // confirm records that the copy of a prefix is complete as of a boot time. It wakes the hosts that wait for changes,
@@ -303,10 +324,16 @@
 	if at <= p.confirmedAt {
 		return
 	}
+	if prefix != sc.platform.UpstreamPrefix {
+		p.confirmedAt = at
+		return
+	}
+	wasOutage := sc.inOutage()
 	p.confirmedAt = at
-	if prefix == sc.platform.UpstreamPrefix {
-		sc.notify()
+	if wasOutage && !sc.inOutage() {
+		sc.outageEnd = sc.now()
 	}
+	sc.notify()
 }
 
 // isCurrent reports whether the copy of the upstreams is not older than the limit.
@@ -458,8 +485,8 @@
 	sc.notify()
 }
 
-// remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store was unreachable
-// until a moment ago.
+// remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store had an outage until
+// a moment ago.
 func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64, from origin) {
 	delete(p.items, key)
 	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
@@ -467,10 +494,11 @@
 		p.deletionsSince = p.deletions[n-1].Revision
 		p.deletions = append(p.deletions[:0], p.deletions[n:]...)
 	}
-	if now.Sub(sc.storeBackAt) < graceWindow && p.prefix != sc.platform.ConfigPrefix {
+	afterOutage := sc.inOutage() || sc.outageEnd > 0 && sc.now()-sc.outageEnd < graceWindow
+	if afterOutage && p.prefix != sc.platform.ConfigPrefix {
 		p.graceUntil[key] = now.Add(gracePeriod)
 		sc.log.Info().Str("key", key).Str("via", from.via).Dur("age_ms", from.age).
-			Dur("outage_ended_ms", now.Sub(sc.storeBackAt)).Msg("expired entry stays in use for a while")
+			Msg("expired entry stays in use for a while")
 		return
 	}
 	sc.discard(key, from)
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -44,6 +44,8 @@
 	st := &elect.Elector{Store: s, Log: zerolog.Nop(), LeadershipChanged: func(bool) {}}
 	sc := newStoreCache(testPlatform(s), newAgeLimits(testDrainTime), st, &stats.Set{}, zerolog.Nop())
 	sc.onChange = func() {}
+	started := time.Now()
+	sc.now = func() time.Duration { return time.Since(started) + time.Second }
 	return sc
 }
 
@@ -174,6 +176,41 @@
 	})
 }
 
+// Guards against calls to a departed upstream by a host that takes the loss of its own path to the store for an outage of
+// the store, and against upstreams that are lost to a real outage.
+func TestGraceNeedsConfirmedOutage(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		confirmed bool
+		ids       string
+	}{
+		{"other hosts cannot reach the store either", true, "e1 e2"},
+		{"no other host responds", false, "e2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withCache(t, func(s *stub.Store, sc *storeCache) {
+				s.Set(elect.HostPrefix+"other", `{"Name":"other"}`)
+				time.Sleep(time.Second)
+				s.Do(func() { s.Fault = func(string) error { return store.ErrNotExecuted } })
+				time.Sleep(2 * time.Second)
+				if tt.confirmed {
+					sc.confirmOutage()
+				}
+				s.Delete("up/e1")
+				s.Do(func() { s.Fault = nil })
+				time.Sleep(1400 * time.Millisecond)
+				if got := ids(sc); got != tt.ids {
+					t.Errorf("upstreams %q after the outage, want %q", got, tt.ids)
+				}
+				time.Sleep(2 * time.Second)
+				if got := ids(sc); got != "e2" {
+					t.Errorf("upstreams %q after the grace period, want e2", got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against losing changes when a host gets them from another host instead of from the store.
 func TestChanges(t *testing.T) {
 	withCache(t, func(s *stub.Store, sc *storeCache) {
--- a/internal/host/departure_test.go
+++ b/internal/host/departure_test.go
@@ -258,6 +258,36 @@
 	}
 }
 
+// Guards against upstreams that are dropped because their entries expired in an outage of the store, by a host that hears
+// of it from another one before it reaches the store itself.
+func TestEntriesExpiredInOutageStayInUse(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, 6)
+		for _, h := range f.hosts {
+			h.cut.Store(true)
+		}
+		time.Sleep(5 * time.Second)
+		f.store.Delete("up/e1")
+		time.Sleep(time.Second)
+		f.heal()
+		for i := 0; i < 300 && !t.Failed(); i++ {
+			if i == 100 {
+				f.store.Set("up/e1", "llm ready")
+			}
+			for _, h := range f.hosts {
+				if got := ids(h.cache); got != "e1 e2" {
+					t.Errorf("%s uses %q %d ms after the outage", h.name, got, 10*i)
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Guards against hosts that send calls that crash engines because only the leader knows of the quarantine, and against a
 // quarantine that is lost with the host that has begun it.
 func TestQuarantineReachesAllHosts(t *testing.T) {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -267,6 +267,9 @@
 	}
 	r.noteStore(m.StoreUnreachable)
 	if m.StoreUnreachable {
+		if r.storeUnreachable() {
+			r.cache.confirmOutage()
+		}
 		return errSourceLostStore
 	}
 	if m.Stale {
