--- a/internal/serve/build.go
+++ b/internal/serve/build.go
@@ -118,7 +118,7 @@
 	h.tickets = &ticket.Server{Owned: h.pools.ownedRunner, Stats: h.stats}
 	h.router = &ticket.Router{
 		Dial: h.endpoint, Stats: h.stats, Owner: h.ownerAddr, OnVersion: h.onVersion,
-		Local: h.pools.runner,
+		Local: h.pools.runner, IsLeaving: h.upstreamLeaving,
 	}
 }
 
--- a/internal/ticket/router.go
+++ b/internal/ticket/router.go
@@ -30,6 +30,8 @@
 		Owner func(pool string) (addr string, ok bool)
 		// Local returns this host's own runner for a pool.
 		Local func(pool string) *Runner
+		// IsLeaving reports whether an engine is leaving as far as this host knows; nil means never.
+		IsLeaving func(engine string) bool
 		// OnVersion is called with the residency version of each ticket that another host grants.
 		OnVersion func(pool string, version int64)
 
@@ -49,7 +51,12 @@
 		addr, ok := r.Owner(req.Pool)
 		if ok {
 			t, err := r.requestFromOwner(ctx, addr, req)
-			if !errors.Is(err, errNoDispatcher) {
+			switch {
+			case err == nil && r.isLeaving(t):
+				// The dispatcher does not know of the departure yet.
+				t.Close()
+				r.Stats.CountEvent("ticket_for_leaving_engine")
+			case !errors.Is(err, errNoDispatcher):
 				return t, err
 			}
 			r.Stats.CountEvent("local_dispatch")
@@ -62,6 +69,8 @@
 	}
 }
 
+func (r *Router) isLeaving(t Ticket) bool { return r.IsLeaving != nil && r.IsLeaving(t.Grant().Engine) }
+
 func (r *Router) requestFromOwner(ctx context.Context, addr string, req wire.TicketRequest) (Ticket, error) {
 	t, err := requestRemote(ctx, r.Dial, addr, req)
 	if err != nil {
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -230,6 +230,36 @@
 	})
 }
 
+// Guards against calls to an engine that this host knows to be leaving, because a dispatcher that does not know it yet has
+// granted them.
+func TestTicketForLeavingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &simnet.Net{Delay: time.Millisecond}
+		entry, owner := newTestHost(t, n, "entry"), newTestHost(t, n, "owner")
+		entry.owner, owner.isOwner = "owner", true
+		entry.router.IsLeaving = func(engine string) bool { return engine == "e1" }
+		entry.loop.Call(func() {
+			entry.runner.SetEngines([]pool.EngineState{
+				{Name: "e1", URL: "u1", Up: true, MaxSeqs: seqs, Items: []string{"m@1"}, BootID: "b", Leaving: true},
+				{Name: "e2", URL: "u2", Up: true, MaxSeqs: seqs, Items: []string{"m@1"}, BootID: "b"},
+			})
+		})
+		ticket, err := entry.router.RequestTicket(t.Context(), ticketRequest("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := ticket.Grant().Engine; got != "e2" {
+			t.Errorf("ticket for %s, want e2", got)
+		}
+		time.Sleep(time.Second)
+		if got := owner.openTickets(); got != 0 {
+			t.Errorf("%d tickets of the dispatcher are open, want none", got)
+		}
+		ticket.Close()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against rejections that lose their code or outcome between hosts.
 func TestRejectionCrossesHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
