Take an outage as confirmed only if no host has reached the store

A host that was cut off together with others took their word for an outage of the store even while a third host passed on its current state, and kept removed upstreams. TestGraceNeedsConfirmedOutage, row 'some hosts can reach the store', failed before: upstreams "e1 e2", want e2.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -310,9 +310,9 @@
 	return len(sc.hosts) > 1 || len(sc.hosts) == 1 && !registered
 }
 
-// inOutage reports whether an outage of the store has been confirmed since the copy of the upstreams was.
+// inOutage reports whether an outage of the store has been confirmed and no host has reached it for a while.
 func (sc *storeCache) inOutage() bool {
-	return sc.outageAt > sc.states[sc.platform.UpstreamPrefix].confirmedAt
+	return sc.outageAt > sc.states[sc.platform.UpstreamPrefix].confirmedAt+sc.limits.Max
 }
 
 // confirm records that the copy of a prefix is complete as of a boot time. It wakes the hosts that wait for changes,
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -180,12 +180,17 @@
 // the store, and against upstreams that are lost to a real outage.
 func TestGraceNeedsConfirmedOutage(t *testing.T) {
 	for _, tt := range []struct {
-		name      string
-		confirmed bool
-		ids       string
+		name string
+		do   func(sc *storeCache) // what other hosts say during the outage
+		ids  string
 	}{
-		{"other hosts cannot reach the store either", true, "e1 e2"},
-		{"no other host responds", false, "e2"},
+		{"other hosts cannot reach the store either", func(sc *storeCache) { sc.confirmOutage() }, "e1 e2"},
+		{"no other host responds", func(*storeCache) {}, "e2"},
+		{"some hosts can reach the store", func(sc *storeCache) {
+			sc.confirm("up/", sc.now())
+			time.Sleep(100 * time.Millisecond)
+			sc.confirmOutage()
+		}, "e2"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			withCache(t, func(s *stub.Store, sc *storeCache) {
@@ -193,9 +198,7 @@
 				time.Sleep(time.Second)
 				s.Do(func() { s.Fault = func(string) error { return store.ErrNotExecuted } })
 				time.Sleep(2 * time.Second)
-				if tt.confirmed {
-					sc.confirmOutage()
-				}
+				tt.do(sc)
 				s.Delete("up/e1")
 				s.Do(func() { s.Fault = nil })
 				time.Sleep(1400 * time.Millisecond)
