--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -19,7 +19,7 @@
 func (s *ticketService) quarantines() []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Poison.Records()
+	return s.scheduler.Poison.Records(time.Now())
 }
 
 // mergeQuarantines applies the quarantines that another host knows. Every host applies them itself, so that they hold
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -54,6 +54,7 @@
 
 	quarantine struct {
 		Record
+		endedAt    time.Time // when it ended, if it is not active
 		probeAt    time.Time
 		probeDelay time.Duration
 	}
@@ -131,10 +132,14 @@
 	return true
 }
 
-// Records returns all quarantines, including those that have ended, for other hosts.
-func (t *Table) Records() []Record {
+// Records returns the quarantines for other hosts, including those that have ended in the last minute.
+func (t *Table) Records(now time.Time) []Record {
 	out := make([]Record, 0, len(t.records))
-	for _, q := range t.records {
+	for k, q := range t.records {
+		if !q.Active && now.Sub(q.endedAt) > memory {
+			delete(t.records, k)
+			continue
+		}
 		out = append(out, q.Record)
 	}
 	return out
@@ -147,11 +152,14 @@
 			// It would block every call.
 			continue
 		}
+		if !r.Active && t.records[key(r.Segments)] == nil {
+			continue
+		}
 		q := t.record(r.Segments)
 		if q == nil || r.Version <= q.Version {
 			continue
 		}
-		q.Active, q.Version = r.Active, r.Version
+		q.Active, q.Version, q.endedAt = r.Active, r.Version, now
 		q.probeAt, q.probeDelay = now.Add(initialProbeDelay), initialProbeDelay
 		t.changed = append(t.changed, q.Record)
 		if !q.Active {
@@ -177,7 +185,7 @@
 	slices.Sort(ids)
 	for _, q := range t.records {
 		if q.Active && len(q.Segments) > len(ids) && containsAll(q.Segments, ids) {
-			t.end(q)
+			t.end(now, q)
 		}
 	}
 	q := t.record(ids)
@@ -192,15 +200,15 @@
 
 // clear ends a quarantine because one of its segments was served, and quarantines the others, if there are any.
 func (t *Table) clear(now time.Time, q *quarantine, id uint64) {
-	t.end(q)
+	t.end(now, q)
 	rest := slices.DeleteFunc(slices.Clone(q.Segments), func(other uint64) bool { return other == id })
 	if len(rest) > 0 {
 		t.quarantine(now, rest)
 	}
 }
 
-func (t *Table) end(q *quarantine) {
-	q.Active = false
+func (t *Table) end(now time.Time, q *quarantine) {
+	q.Active, q.endedAt = false, now
 	q.Version++
 	t.changed = append(t.changed, q.Record)
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -156,15 +156,15 @@
 func TestMerge(t *testing.T) {
 	var a, b poison.Table
 	replay(&a, []step{crash(0, "a", 2, 3, 10), crash(300, "b", 2, 3, 11), crash(600, "c", 2, 3, 12)})
-	b.Merge(start, a.Records())
+	b.Merge(start, a.Records(start))
 	if !b.Blocks(prompt(tenant, deadly, 9)) {
 		t.Error("the other host does not block")
 	}
 	b.Served(start, prompt(tenant, 9))
-	a.Merge(start, b.Records())
+	a.Merge(start, b.Records(start))
 	for name, table := range map[string]*poison.Table{"a": &a, "b": &b} {
 		if !table.Blocks(prompt(deadly, 9)) || table.Blocks(prompt(tenant, 9)) {
-			t.Errorf("%s blocks %+v, want segment 3 alone", name, table.Records())
+			t.Errorf("%s blocks %+v, want segment 3 alone", name, table.Records(start))
 		}
 	}
 	b.Merge(start, []poison.Record{{Active: true, Version: 9}})
@@ -172,10 +172,18 @@
 		t.Error("a record without segments blocks a call")
 	}
 	before := len(b.Changes())
-	b.Merge(start, a.Records())
+	b.Merge(start, a.Records(start))
 	if again := b.Changes(); before == 0 || len(again) > 0 {
 		t.Errorf("%d changes, and %d from records that are known already", before, len(again))
 	}
+	later := start.Add(time.Hour)
+	if left := a.Records(later); len(left) != 1 || !left[0].Active {
+		t.Errorf("records after an hour: %+v, want the active one", left)
+	}
+	a.Merge(later, b.Records(start))
+	if left := a.Records(later); len(left) != 1 {
+		t.Errorf("another host brings ended quarantines back: %+v", left)
+	}
 }
 
 // Guards against a segment that is quarantined although it is served now and then, and against one that crashes engines
