--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -286,8 +286,8 @@
 	}
 }
 
-// stopCalls records that this host makes no calls for a prefix, because its sources are current. So its next call is not
-// taken for the end of an outage.
+// stopCalls records that this host makes no calls for a prefix, because its sources are current. So its next call is
+// not taken for the end of an outage.
 func (sc *storeCache) stopCalls(prefix string) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -485,8 +485,8 @@
 	sc.notify()
 }
 
-// remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store had an outage until
-// a moment ago.
+// remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store had an outage
+// until a moment ago.
 func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64, from origin) {
 	delete(p.items, key)
 	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -176,8 +176,8 @@
 	})
 }
 
-// Guards against calls to a departed upstream by a host that takes the loss of its own path to the store for an outage of
-// the store, and against upstreams that are lost to a real outage.
+// Guards against calls to a departed upstream by a host that takes the loss of its own path to the store for an outage
+// of the store, and against upstreams that are lost to a real outage.
 func TestGraceNeedsConfirmedOutage(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- /dev/null
+++ b/internal/host/fleet_test.go
@@ -0,0 +1,195 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/store/stub"
+	"github.com/figreel/figreel/internal/topo"
+)
+
+const (
+	testDrainTime = 2 * time.Second
+	testDialTime  = 400 * time.Millisecond
+)
+
+type (
+	// fleet is a set of hosts in one process that share a store and are linked in memory.
+	fleet struct {
+		store *stub.Store
+		hosts []*fleetHost
+	}
+
+	fleetHost struct {
+		store.Store
+		name    string
+		cache   *storeCache
+		relay   *watchRelay
+		cut     atomic.Bool // calls to the store get no response
+		silent  atomic.Bool // the host neither sends nor receives anything
+		fleet   *fleet
+		watched atomic.Bool // the host has called the store for the upstreams since the last reset
+	}
+
+	// fleetConn drops what is sent to or by a silent host.
+	fleetConn struct {
+		net.Conn
+		a, b *fleetHost
+	}
+)
+
+var errNoConnection = errors.New("connection timed out")
+
+// newFleet starts n hosts in three failure domains and waits until they have registered.
+func newFleet(ctx context.Context, n int) *fleet {
+	f := &fleet{store: &stub.Store{}}
+	f.store.Set("conf/main", "5")
+	f.store.Set("up/e1", "llm ready")
+	f.store.Set("up/e2", "llm ready")
+	for i := range n {
+		h := &fleetHost{Store: f.store, fleet: f, name: fmt.Sprint("host-", i)}
+		self := topo.Host{Name: h.name, Link: h.name, Domain: fmt.Sprint("domain-", i%3), Ready: true}
+		h.cache = testHost(h, self)
+		h.relay = &watchRelay{
+			self: self, cache: h.cache, elector: h.cache.elector, tickets: testTickets(), stats: h.cache.stats,
+			log: h.cache.log, now: h.cache.now, dial: h.dial,
+		}
+		h.relay.sources = sourceSet{Self: h.name, Limits: h.cache.limits}
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		go h.cache.elector.Run(ctx)
+		go h.relay.run(ctx)
+		for _, prefix := range h.cache.prefixes() {
+			watchesStore := h.relay.watchesStore
+			if prefix == h.cache.platform.ConfigPrefix {
+				watchesStore = func() bool { return true }
+			}
+			go h.cache.run(ctx, prefix, watchesStore)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond)
+	return f
+}
+
+// heal ends all faults.
+func (f *fleet) heal() {
+	for _, h := range f.hosts {
+		h.cut.Store(false)
+		h.silent.Store(false)
+	}
+}
+
+// watchers returns the hosts that watch the store for all others.
+func (f *fleet) watchers() []*fleetHost {
+	for _, h := range f.hosts {
+		h.watched.Store(false)
+	}
+	time.Sleep(time.Second)
+	var out []*fleetHost
+	for _, h := range f.hosts {
+		if h.watched.Load() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (h *fleetHost) dial(ctx context.Context, addr string) (*link.Conn, error) {
+	i := slices.IndexFunc(h.fleet.hosts, func(o *fleetHost) bool { return o.name == addr })
+	other := h.fleet.hosts[i]
+	if h.silent.Load() || other.silent.Load() {
+		select {
+		case <-time.After(testDialTime):
+		case <-ctx.Done():
+		}
+		return nil, errNoConnection
+	}
+	ours, theirs := net.Pipe()
+	go other.serve(link.NewConn(&fleetConn{theirs, other, h}))
+	return link.NewConn(&fleetConn{ours, h, other}), nil
+}
+
+func (h *fleetHost) serve(c *link.Conn) {
+	defer c.Close()
+	if m, err := c.Receive(); err == nil {
+		h.relay.serve(c, m)
+	}
+}
+
+// Watch returns no response while the host is cut off from the store, as an open connection does that has gone silent;
+// the probes of the connection end the call after two seconds.
+func (h *fleetHost) Watch(
+	ctx context.Context, prefix string, after int64, wait time.Duration,
+) ([]store.Event, int64, error) {
+	if strings.HasPrefix(prefix, "up/") {
+		h.watched.Store(true)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
+	defer cancel()
+	events, revision, err := h.Store.Watch(ctx, prefix, after, wait)
+	if h.isolated() {
+		time.Sleep(2 * time.Second)
+		return nil, 0, store.ErrOutcomeUnknown
+	}
+	return events, revision, err
+}
+
+func (h *fleetHost) List(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	if err := h.connect(); err != nil {
+		return nil, 0, err
+	}
+	return h.Store.List(ctx, prefix)
+}
+
+func (h *fleetHost) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := h.connect(); err != nil {
+		return 0, err
+	}
+	return h.Store.Grant(ctx, ttl)
+}
+
+func (h *fleetHost) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	if err := h.connect(); err != nil {
+		return 0, err
+	}
+	return h.Store.Commit(ctx, t)
+}
+
+func (h *fleetHost) Renew(ctx context.Context, id int64) error {
+	if h.isolated() {
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	return h.Store.Renew(ctx, id)
+}
+
+// connect waits for a connection to the store, which an isolated host does not get.
+func (h *fleetHost) connect() error {
+	if !h.isolated() {
+		return nil
+	}
+	time.Sleep(testDialTime)
+	return store.ErrNotExecuted
+}
+
+func (h *fleetHost) isolated() bool { return h.cut.Load() || h.silent.Load() }
+
+func (c *fleetConn) Write(b []byte) (int, error) {
+	if c.a.silent.Load() || c.b.silent.Load() {
+		return len(b), nil
+	}
+	n, err := c.Conn.Write(b)
+	return n, errors.Wrap(err, "write")
+}
+
+func (c *fleetConn) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/host/outage_test.go
+++ b/internal/host/outage_test.go
@@ -14,19 +14,23 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// startHost starts the elector and the cache of a host that watches everything itself.
-func startHost(ctx context.Context, s store.Store, name string) {
-	started := time.Now()
+// testHost returns the cache and the elector of a host, connected to each other but not started.
+func testHost(s store.Store, self topo.Host) *storeCache {
 	sc := testCache(s)
-	sc.elector.Self = topo.Host{Name: name, Ready: true}
-	sc.elector.Hosts = func() int { return len(sc.Hosts()) }
-	sc.elector.StoreReachable = sc.retryStore
-	sc.elector.StoreLost = sc.wakeWaiting
-	sc.elector.Rank = func(string) int { return 0 }
-	sc.elector.Now = func() time.Duration { return time.Since(started) }
-	sc.elector.RequestStepDown = func(context.Context, elect.Leader) (time.Duration, error) {
+	e := sc.elector
+	e.Self, e.Now, e.Hosts = self, sc.now, sc.hostCount
+	e.StoreReachable, e.StoreLost = sc.retryStore, sc.wakeWaiting
+	e.Rank = func(previous string) int { return rankOf(sc.Hosts(), self.Name, previous) }
+	e.RequestStepDown = func(context.Context, elect.Leader) (time.Duration, error) {
 		return 0, store.ErrOutcomeUnknown
 	}
+	return sc
+}
+
+// startHost starts the elector and the cache of a host that watches everything itself.
+func startHost(ctx context.Context, s store.Store, name string) {
+	sc := testHost(s, topo.Host{Name: name, Ready: true})
+	sc.elector.Rank = func(string) int { return 0 }
 	go sc.elector.Run(ctx)
 	for _, prefix := range sc.prefixes() {
 		go sc.run(ctx, prefix, func() bool { return true })
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -43,8 +43,8 @@
 )
 
 // watchRelay distributes changes of the store, and what hosts know of quarantines, among the hosts: a few hosts watch
-// the store, and all others fetch the changes from them (their watch sources). A host whose copy becomes too old watches
-// the store itself.
+// the store, and all others fetch the changes from them (their watch sources). A host whose copy becomes too old
+// watches the store itself.
 type watchRelay struct {
 	self    topo.Host
 	cache   *storeCache
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// Guards against hosts that disagree on a quarantine, that keep one that has ended, or that block all calls because of a
-// malformed record.
+// Guards against hosts that disagree on a quarantine, that keep one that has ended, or that block all calls because of
+// a malformed record.
 func TestMerge(t *testing.T) {
 	var a, b poison.Table
 	replay(&a, []step{crash(0, "a", 2, 3, 10), crash(300, "b", 2, 3, 11), crash(600, "c", 2, 3, 12)})
--- a/internal/sched/poison_test.go
+++ b/internal/sched/poison_test.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// Guards against calls of one kind that crash one engine after the other: a twentieth of the calls has a segment that no
-// engine survives, beside a system prompt and a tenant's segment that sound calls have too.
+// Guards against calls of one kind that crash one engine after the other: a twentieth of the calls has a segment that
+// no engine survives, beside a system prompt and a tenant's segment that sound calls have too.
 func TestCallsThatCrashEngines(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -230,8 +230,8 @@
 	})
 }
 
-// Guards against calls to an engine that this host knows to be leaving, because a dispatcher that does not know it yet has
-// granted them.
+// Guards against calls to an engine that this host knows to be leaving, because a dispatcher that does not know it yet
+// has granted them.
 func TestTicketForLeavingEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &simnet.Net{Delay: time.Millisecond}
