Share the latest crashes among hosts

While no leader was known, or after it was lost, each host had to see three engines break by itself before it found the segment. Hosts now send each other the latest crashes under calls with segments that nobody has cleared, with durations in place of times. An ended quarantine names the segments that were served, and all segments that are known to be sound are taken out at once; before, a record with two such segments left a quarantine of one of them.

TestReports failed before the change (no host blocks), TestHostsAgree checks that four hosts agree and do not flap.

--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -15,21 +15,21 @@
 	return s.scheduler.Poison.Blocks(spec.Segments)
 }
 
-// quarantines returns the quarantines that this host knows, for other hosts.
-func (s *ticketService) quarantines() []poison.Record {
+// poisonState returns what this host knows of prompt segments that crash engines, for other hosts.
+func (s *ticketService) poisonState() *poison.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Poison.Records(time.Now())
+	return s.scheduler.Poison.State(time.Now())
 }
 
-// mergeQuarantines applies the quarantines that another host knows. Every host applies them itself, so that they hold
-// while the leader is lost or another host becomes leader.
-func (s *ticketService) mergeQuarantines(records []poison.Record, via string) {
-	if len(records) == 0 {
+// mergePoison applies what another host knows of prompt segments that crash engines. Every host does so itself, because
+// the leader may be lost at any time.
+func (s *ticketService) mergePoison(state *poison.State, via string) {
+	if state == nil {
 		return
 	}
 	s.mu.Lock()
-	s.scheduler.Poison.Merge(time.Now(), records)
+	s.scheduler.Poison.Merge(time.Now(), state)
 	s.mu.Unlock()
 	s.logQuarantines(via)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -70,8 +70,8 @@
 		// ConfirmedMS is the time from the arrival of the request to the moment as of which the sender's copy of the
 		// upstreams is complete; it is negative if that was before. It has no meaning if Stale is set.
 		ConfirmedMS int64 `cbor:"16,keyasint,omitempty"`
-		// Quarantines are those that the sender of GetChanges or Changes knows.
-		Quarantines []poison.Record `cbor:"17,keyasint,omitempty"`
+		// Poison is what the sender of GetChanges or Changes knows of prompt segments that crash engines, or nil.
+		Poison *poison.State `cbor:"17,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -22,6 +22,9 @@
 	maxInstances = 16
 	// maxRecords bounds how many quarantines are kept, including those that have ended.
 	maxRecords = 64
+	// maxReports bounds how many crashes a host tells others of, and reportTime how old these may be.
+	maxReports = 8
+	reportTime = 10 * time.Second
 	// initialProbeDelay is the time after which one call tests a quarantine; it doubles with each test, up to
 	// maxProbeDelay.
 	initialProbeDelay = 30 * time.Second
@@ -29,11 +32,27 @@
 )
 
 type (
-	// Record is a quarantine as hosts tell each other: calls with all of its segments are rejected while it is active.
+	// State is what hosts tell each other.
+	State struct {
+		Records []Record `cbor:"1,keyasint,omitempty"`
+		Reports []Report `cbor:"2,keyasint,omitempty"`
+	}
+
+	// Report is an engine that broke under a call. Its times are durations, because the clocks of hosts differ.
+	Report struct {
+		Instance string               `cbor:"1,keyasint"`
+		Segments []topo.PromptSegment `cbor:"2,keyasint"` // those that no call has cleared, and the last one
+		Age      time.Duration        `cbor:"3,keyasint"` // since the engine broke
+		Took     time.Duration        `cbor:"4,keyasint"` // from the sending of the call until then
+	}
+
+	// Record is a quarantine: calls with all of its segments are rejected while it is active.
 	Record struct {
 		Segments []uint64 `cbor:"1,keyasint"`           // ids, sorted
 		Active   bool     `cbor:"2,keyasint,omitempty"` // false after it has ended
 		Version  int      `cbor:"3,keyasint"`           // number of changes; the highest version counts
+		// Cleared holds the segments that were served, if the quarantine has ended for that reason.
+		Cleared []uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Table holds the evidence and the quarantines of one host; its zero value is empty.
@@ -41,9 +60,16 @@
 		// Evidence is kept in two generations, so that the oldest half can be dropped at once.
 		recent, old map[uint64]*evidence
 		records     map[string]*quarantine
+		crashes     []crash  // the newest ones under calls with segments that no call has cleared
 		changed     []Record // not yet returned by Changes
 	}
 
+	crash struct {
+		at, sent time.Time
+		instance string
+		segments []topo.PromptSegment
+	}
+
 	// evidence is what is known of one segment.
 	evidence struct {
 		servedAt  time.Time
@@ -62,29 +88,33 @@
 
 // Served records that a call with these segments was served completely, which clears all of them.
 func (t *Table) Served(now time.Time, segments []topo.PromptSegment) {
-	for _, id := range shared(segments) {
-		*t.of(id) = evidence{servedAt: now}
-		for _, q := range t.records {
-			if q.Active && slices.Contains(q.Segments, id) {
-				t.clear(now, q, id)
-			}
-		}
-	}
+	t.clear(now, shared(segments))
 }
 
 // Broken records that the connection to an engine instance broke before the call with these segments, which had been
 // sent at the given time, got an event.
 func (t *Table) Broken(now, sent time.Time, instance string, segments []topo.PromptSegment) {
-	ids := shared(segments)
-	if len(ids) == 0 {
+	t.add(now, crash{at: now, sent: sent, instance: instance, segments: segments})
+}
+
+// add adds a crash to the evidence, unless it is known already.
+func (t *Table) add(now time.Time, c crash) {
+	ids := shared(c.segments)
+	if len(ids) == 0 || slices.ContainsFunc(t.crashes, c.isSame) {
+		return
+	}
+	if !slices.ContainsFunc(ids, func(id uint64) bool { return !t.of(id).cleared(now) }) {
 		return
 	}
-	last := segments[len(segments)-1].ID
+	t.crashes = append(t.crashes, c)
+	if n := len(t.crashes) - maxReports; n > 0 {
+		t.crashes = append(t.crashes[:0], t.crashes[n:]...)
+	}
 	crashes := 0
 	var suspects []uint64
 	for _, id := range ids {
 		e := t.of(id)
-		e.add(now, sent, instance, last)
+		e.add(now, &c)
 		if len(e.instances) < minCrashes || len(e.calls) < minCalls || len(e.instances) < crashes {
 			continue
 		}
@@ -103,7 +133,10 @@
 	if len(t.records) == 0 {
 		return false
 	}
-	ids := shared(segments)
+	return t.blocks(shared(segments))
+}
+
+func (t *Table) blocks(ids []uint64) bool {
 	for _, q := range t.records {
 		if q.blocks(ids) {
 			return true
@@ -132,22 +165,40 @@
 	return true
 }
 
-// Records returns the quarantines for other hosts, including those that have ended in the last minute.
-func (t *Table) Records(now time.Time) []Record {
-	out := make([]Record, 0, len(t.records))
+// State returns the quarantines, including those that have ended in the last minute, and the latest crashes for other
+// hosts. It returns nil if there are none.
+func (t *Table) State(now time.Time) *State {
+	var out State
 	for k, q := range t.records {
 		if !q.Active && now.Sub(q.endedAt) > memory {
 			delete(t.records, k)
 			continue
 		}
-		out = append(out, q.Record)
+		out.Records = append(out.Records, q.Record)
 	}
-	return out
+	for _, c := range t.crashes {
+		age := now.Sub(c.at)
+		if suspects := t.suspects(now, c.segments); age < reportTime && len(suspects) > 1 {
+			r := Report{Instance: c.instance, Segments: suspects, Age: age, Took: c.at.Sub(c.sent)}
+			out.Reports = append(out.Reports, r)
+		}
+	}
+	if len(out.Records) == 0 && len(out.Reports) == 0 {
+		return nil
+	}
+	return &out
 }
 
-// Merge applies the quarantines of another host.
-func (t *Table) Merge(now time.Time, records []Record) {
-	for _, r := range records {
+// Merge applies what another host knows; nil is nothing.
+func (t *Table) Merge(now time.Time, s *State) {
+	if s == nil {
+		return
+	}
+	for _, r := range s.Reports {
+		at := now.Add(-r.Age)
+		t.add(now, crash{at: at, sent: at.Add(-r.Took), instance: r.Instance, segments: r.Segments})
+	}
+	for _, r := range s.Records {
 		if len(r.Segments) == 0 {
 			// It would block every call.
 			continue
@@ -159,17 +210,19 @@
 		if q == nil || r.Version <= q.Version {
 			continue
 		}
-		q.Active, q.Version, q.endedAt = r.Active, r.Version, now
+		q.Active, q.Version, q.Cleared, q.endedAt = r.Active, r.Version, r.Cleared, now
 		q.probeAt, q.probeDelay = now.Add(initialProbeDelay), initialProbeDelay
 		t.changed = append(t.changed, q.Record)
 		if !q.Active {
+			t.clear(now, q.Cleared)
 			continue
 		}
-		for _, id := range r.Segments {
-			if e := t.known(id); e != nil && e.cleared(now) {
-				t.clear(now, q, id)
-			}
+		t.endWider(now, q.Segments)
+		if t.coversOther(q) {
+			t.end(now, q)
+			continue
 		}
+		t.narrow(now, q)
 	}
 }
 
@@ -180,33 +233,74 @@
 	return out
 }
 
-// quarantine blocks calls that have all of these segments, instead of those with more segments.
+// quarantine blocks calls that have all of these segments, unless calls with fewer of them are blocked already.
 func (t *Table) quarantine(now time.Time, ids []uint64) {
-	slices.Sort(ids)
-	for _, q := range t.records {
-		if q.Active && len(q.Segments) > len(ids) && containsAll(q.Segments, ids) {
-			t.end(now, q)
-		}
+	if t.blocks(ids) {
+		return
 	}
+	slices.Sort(ids)
+	t.endWider(now, ids)
 	q := t.record(ids)
-	if q == nil || q.Active {
+	if q == nil {
 		return
 	}
-	q.Active = true
+	q.Active, q.Cleared = true, nil
 	q.Version++
 	q.probeAt, q.probeDelay = now.Add(initialProbeDelay), initialProbeDelay
 	t.changed = append(t.changed, q.Record)
 }
 
-// clear ends a quarantine because one of its segments was served, and quarantines the others, if there are any.
-func (t *Table) clear(now time.Time, q *quarantine, id uint64) {
+// clear records that segments were served, and narrows the quarantines that contain any of them.
+func (t *Table) clear(now time.Time, ids []uint64) {
+	for _, id := range ids {
+		*t.of(id) = evidence{servedAt: now}
+	}
+	for _, q := range t.records {
+		if q.Active && slices.ContainsFunc(ids, func(id uint64) bool { return slices.Contains(q.Segments, id) }) {
+			t.narrow(now, q)
+		}
+	}
+}
+
+// narrow ends a quarantine if any of its segments has been served, and quarantines the others, if there are any.
+func (t *Table) narrow(now time.Time, q *quarantine) {
+	var cleared, rest []uint64
+	for _, id := range q.Segments {
+		if e := t.known(id); e != nil && e.cleared(now) {
+			cleared = append(cleared, id)
+		} else {
+			rest = append(rest, id)
+		}
+	}
+	if len(cleared) == 0 {
+		return
+	}
+	q.Cleared = cleared
 	t.end(now, q)
-	rest := slices.DeleteFunc(slices.Clone(q.Segments), func(other uint64) bool { return other == id })
 	if len(rest) > 0 {
 		t.quarantine(now, rest)
 	}
 }
 
+// endWider ends the quarantines of more segments than these.
+func (t *Table) endWider(now time.Time, ids []uint64) {
+	for _, q := range t.records {
+		if q.Active && len(q.Segments) > len(ids) && containsAll(q.Segments, ids) {
+			t.end(now, q)
+		}
+	}
+}
+
+// coversOther reports whether another active quarantine has only segments of this one.
+func (t *Table) coversOther(q *quarantine) bool {
+	for _, other := range t.records {
+		if other != q && other.blocks(q.Segments) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) end(now time.Time, q *quarantine) {
 	q.Active, q.endedAt = false, now
 	q.Version++
@@ -271,23 +365,45 @@
 	return !e.servedAt.IsZero() && now.Sub(e.servedAt) < memory
 }
 
-// add counts an engine instance that broke under a call whose last segment is given.
-func (e *evidence) add(now, sent time.Time, instance string, last uint64) {
+// suspects returns the segments that no call has cleared, and the last one.
+func (t *Table) suspects(now time.Time, segments []topo.PromptSegment) []topo.PromptSegment {
+	out := make([]topo.PromptSegment, 0, len(segments))
+	for i, s := range segments {
+		e := t.known(s.ID)
+		if i == len(segments)-1 || e == nil || !e.cleared(now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// isSame reports whether two crashes are of the same engine instance under the same call.
+func (c *crash) isSame(other crash) bool {
+	return c.instance == other.instance && c.call() == other.call()
+}
+
+// call identifies the call by its last segment, which no other call has.
+func (c *crash) call() uint64 { return c.segments[len(c.segments)-1].ID }
+
+// add counts an engine instance that broke under a call with the segment.
+func (e *evidence) add(now time.Time, c *crash) {
 	if e.cleared(now) {
 		return
 	}
 	if now.Sub(e.brokenAt) > memory {
 		*e = evidence{}
 	}
-	if len(e.calls) < minCalls && !slices.Contains(e.calls, last) {
-		e.calls = append(e.calls, last)
+	if len(e.calls) < minCalls && !slices.Contains(e.calls, c.call()) {
+		e.calls = append(e.calls, c.call())
 	}
-	commonCause := now.Sub(e.brokenAt) < commonCauseTime && !sent.After(e.brokenAt)
-	if commonCause || slices.Contains(e.instances, instance) || len(e.instances) == maxInstances {
+	commonCause := c.at.Sub(e.brokenAt).Abs() < commonCauseTime && !c.sent.After(e.brokenAt)
+	if commonCause || slices.Contains(e.instances, c.instance) || len(e.instances) == maxInstances {
 		return
 	}
-	e.instances = append(e.instances, instance)
-	e.brokenAt = now
+	e.instances = append(e.instances, c.instance)
+	if c.at.After(e.brokenAt) {
+		e.brokenAt = c.at
+	}
 }
 
 func (q *quarantine) blocks(ids []uint64) bool { return q.Active && containsAll(ids, q.Segments) }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -156,36 +156,63 @@
 func TestMerge(t *testing.T) {
 	var a, b poison.Table
 	replay(&a, []step{crash(0, "a", 2, 3, 10), crash(300, "b", 2, 3, 11), crash(600, "c", 2, 3, 12)})
-	b.Merge(start, a.Records(start))
+	b.Merge(start, a.State(start))
 	if !b.Blocks(prompt(tenant, deadly, 9)) {
 		t.Error("the other host does not block")
 	}
 	b.Served(start, prompt(tenant, 9))
-	a.Merge(start, b.Records(start))
+	a.Merge(start, b.State(start))
 	for name, table := range map[string]*poison.Table{"a": &a, "b": &b} {
 		if !table.Blocks(prompt(deadly, 9)) || table.Blocks(prompt(tenant, 9)) {
-			t.Errorf("%s blocks %+v, want segment 3 alone", name, table.Records(start))
+			t.Errorf("%s blocks %+v, want segment 3 alone", name, table.State(start))
 		}
 	}
-	b.Merge(start, []poison.Record{{Active: true, Version: 9}})
+	b.Merge(start, &poison.State{Records: []poison.Record{{Active: true, Version: 9}}})
 	if b.Blocks(prompt(system, 9)) {
 		t.Error("a record without segments blocks a call")
 	}
 	before := len(b.Changes())
-	b.Merge(start, a.Records(start))
+	b.Merge(start, a.State(start))
 	if again := b.Changes(); before == 0 || len(again) > 0 {
 		t.Errorf("%d changes, and %d from records that are known already", before, len(again))
 	}
 	later := start.Add(time.Hour)
-	if left := a.Records(later); len(left) != 1 || !left[0].Active {
-		t.Errorf("records after an hour: %+v, want the active one", left)
+	if left := a.State(later); len(left.Records) != 1 || !left.Records[0].Active || len(left.Reports) > 0 {
+		t.Errorf("state after an hour: %+v, want the active quarantine", left)
 	}
-	a.Merge(later, b.Records(start))
-	if left := a.Records(later); len(left) != 1 {
+	a.Merge(later, b.State(start))
+	if left := a.State(later); len(left.Records) != 1 {
 		t.Errorf("another host brings ended quarantines back: %+v", left)
 	}
 }
 
+// Guards against hosts that each lose several engines to a segment, because no leader sees all crashes, and against a
+// crash that counts twice because several hosts tell of it.
+func TestReports(t *testing.T) {
+	var hosts [3]poison.Table
+	share := func(at time.Time) {
+		for range 2 {
+			for i := range hosts {
+				hosts[(i+1)%len(hosts)].Merge(at, hosts[i].State(at))
+			}
+		}
+	}
+	for i, c := range []step{crash(0, "a", 1, 3, 10), crash(900, "b", 1, 3, 11), crash(1800, "c", 1, 3, 12)} {
+		for n := range hosts {
+			if hosts[n].Blocks(prompt(system, deadly, 9)) {
+				t.Errorf("host %d blocks after %d crashes", n, i)
+			}
+		}
+		replay(&hosts[i], []step{served(c.at/time.Millisecond, 1, 9), c})
+		share(start.Add(c.at + 300*time.Millisecond))
+	}
+	for n := range hosts {
+		if !hosts[n].Blocks(prompt(system, deadly, 9)) || hosts[n].Blocks(prompt(system, 9)) {
+			t.Errorf("host %d knows %+v", n, hosts[n].State(start))
+		}
+	}
+}
+
 // Guards against a segment that is quarantined although it is served now and then, and against one that crashes engines
 // and is not found, whatever else the calls have in common.
 func TestCauseIsFoundAmongSoundSegments(t *testing.T) {
@@ -219,3 +246,53 @@
 		}
 	})
 }
+
+// Guards against hosts that do not agree in the end on what crashes engines, and against quarantines that hosts begin
+// and end again and again because each knows of other calls.
+func TestHostsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := make([]poison.Table, 4)
+		now := start
+		crashes, changes := 0, 0
+		share := func() {
+			from := rapid.IntRange(0, len(hosts)-1).Draw(t, "from")
+			for i := range hosts {
+				hosts[i].Merge(now, hosts[from].State(now))
+				hosts[from].Merge(now, hosts[i].State(now))
+			}
+		}
+		for i := range uint64(rapid.IntRange(100, 300).Draw(t, "calls")) {
+			now = now.Add(time.Duration(rapid.IntRange(30, 150).Draw(t, "gap")) * time.Millisecond)
+			h := &hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
+			ids := []uint64{system, 100 + uint64(rapid.IntRange(0, 5).Draw(t, "tenant")), 1000 + i}
+			if i%5 == 0 {
+				share()
+			}
+			if rapid.IntRange(0, 9).Draw(t, "sound") > 0 {
+				if !h.Blocks(prompt(ids...)) {
+					h.Served(now, prompt(ids...))
+				}
+				continue
+			}
+			if ids = append(ids[:2], deadly, 1000+i); h.Blocks(prompt(ids...)) {
+				continue
+			}
+			crashes++
+			h.Broken(now, now.Add(-50*time.Millisecond), fmt.Sprint("engine-", i), prompt(ids...))
+		}
+		share()
+		share()
+		for i := range hosts {
+			changes += len(hosts[i].Changes())
+			if crashes > 8 && !hosts[i].Blocks(prompt(system, deadly, 9)) {
+				t.Fatalf("host %d does not block after %d crashes: %+v", i, crashes, hosts[i].State(now))
+			}
+			if hosts[i].Blocks(prompt(system, 9)) {
+				t.Fatalf("host %d blocks a system prompt: %+v", i, hosts[i].State(now))
+			}
+		}
+		if crashes > 12 || changes > 80 {
+			t.Fatalf("%d crashes, %d changes of quarantines", crashes, changes)
+		}
+	})
+}
