Let the leader decide which call tests a quarantine

Hosts rejected calls with quarantined prompts themselves, so only calls that came to the leader's own address could test a quarantine; on a large fleet it would have lasted for hours after the engines were mended. Hosts now ask the leader for a ticket as for any other call, and use a grant for a quarantined prompt only if it is marked as the test. The table's file is split by what it holds.

TestGrantOfOutdatedLeader takes the place of TestGrantOfDepartedEngine and has its rows; the rows 'quarantined' (failed without the check: grant of e1 was used) and 'quarantined, to be tested' (was rejected before) are new.

--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -74,7 +74,7 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
-	if leader := s.usableLeaderConn(); leader != nil && !s.blocks(&req.Spec) {
+	if leader := s.usableLeaderConn(); leader != nil {
 		decision, ok, err := s.requestRemote(ctx, leader, req)
 		if ok || err != nil {
 			return decision, err
@@ -247,8 +247,8 @@
 	}
 }
 
-// requestRemote requests a ticket from the leader; the bool is false if the leader does not reply or grants an engine
-// that has left.
+// requestRemote requests a ticket from the leader; the bool is false if the leader does not reply or this host knows
+// better than to use its grant.
 func (s *ticketService) requestRemote(ctx context.Context, leader *link.Conn, req sched.Request) (
 	sched.Decision, bool, error,
 ) {
@@ -281,10 +281,7 @@
 				continue
 			}
 			returned = true
-			if decision.Kind == sched.Granted && s.departed(decision.Grant.Engine) {
-				s.log.Warn().Str("call", req.Call).Str("upstream", decision.Grant.Engine).
-					Msg("leader granted a departed engine")
-				s.stats.CountEvent("departed_grant")
+			if decision.Kind == sched.Granted && !s.isUsable(&req, decision.Grant) {
 				s.releaseAtLeader(leader, decision.Grant)
 				return sched.Decision{}, false, nil
 			}
@@ -304,6 +301,21 @@
 	}
 }
 
+// isUsable reports whether a grant of the leader may be used as far as this host knows. The leader may not know yet
+// that the engine has left or that the prompt crashes engines.
+func (s *ticketService) isUsable(req *sched.Request, g sched.Grant) bool {
+	switch {
+	case s.departed(g.Engine):
+		s.log.Warn().Str("call", req.Call).Str("upstream", g.Engine).Msg("leader granted a departed engine")
+		s.stats.CountEvent("departed_grant")
+		return false
+	case !g.Probe && s.blocks(&req.Spec):
+		s.stats.CountEvent("quarantined_grant")
+		return false
+	}
+	return true
+}
+
 // releaseUnread returns a ticket whose grant arrived after its call had stopped waiting for it.
 func (s *ticketService) releaseUnread(leader *link.Conn, reply <-chan sched.Decision) {
 	for {
--- a/internal/host/tickets_test.go
+++ b/internal/host/tickets_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/store/stub"
@@ -22,25 +23,57 @@
 	return newTicketService("h1", &elect.Elector{LeadershipChanged: func(bool) {}}, &stats.Set{}, zerolog.Nop())
 }
 
-// Guards against calls to an engine that this host knows to have left, because a leader that does not know it yet has
-// granted them.
-func TestGrantOfDepartedEngine(t *testing.T) {
+// serveGrants answers the ticket requests of a host as a leader that grants them all, and reports whether the grant was
+// released.
+func serveGrants(c *link.Conn, grant sched.Grant, released *atomic.Bool) {
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		if m.Kind == link.Release {
+			released.Store(m.Ticket == grant.Ticket)
+		}
+		if m.Kind != link.TicketRequest {
+			continue
+		}
+		decision := &sched.Decision{Kind: sched.Granted, Call: m.Call, Grant: grant}
+		if c.Send(&link.Message{Kind: link.Reply, Call: m.Call, Decision: decision}) != nil {
+			return
+		}
+	}
+}
+
+// Guards against calls to an engine that this host knows to have left, and against calls that this host knows to crash
+// engines, because a leader that does not know it yet has granted them.
+func TestGrantOfOutdatedLeader(t *testing.T) {
+	nothing := func(*stub.Store, *ticketService) {}
+	quarantine := func(_ *stub.Store, tickets *ticketService) {
+		records := []poison.Record{{Segments: []uint64{1}, Active: true, Version: 1}}
+		tickets.mergePoison(&poison.State{Records: records}, "another host")
+	}
 	for _, tt := range []struct {
-		name     string
-		do       func(s *stub.Store)
-		engine   string
-		released bool
+		name  string
+		do    func(s *stub.Store, tickets *ticketService)
+		grant sched.Grant
+		want  string // engine of the call, or empty if it is rejected
 	}{
-		{"in use", func(*stub.Store) {}, "e1", false},
-		{"not known here yet", func(s *stub.Store) { s.Delete("up/e2") }, "e3", false},
-		{"leaving", func(s *stub.Store) { s.Set("up/e1", "llm leaving") }, "e1", true},
-		{"removed", func(s *stub.Store) { s.Delete("up/e1") }, "e1", true},
-		{"invalid entry", func(s *stub.Store) { s.Set("up/e1", "?") }, "e1", true},
+		{"in use", nothing, sched.Grant{Engine: "e1"}, "e1"},
+		{"not known here yet", nothing, sched.Grant{Engine: "e3"}, "e3"},
+		{
+			"leaving", func(s *stub.Store, _ *ticketService) { s.Set("up/e1", "llm leaving") },
+			sched.Grant{Engine: "e1"}, "local",
+		},
+		{"removed", func(s *stub.Store, _ *ticketService) { s.Delete("up/e1") }, sched.Grant{Engine: "e1"}, "local"},
+		{
+			"invalid entry", func(s *stub.Store, _ *ticketService) { s.Set("up/e1", "?") },
+			sched.Grant{Engine: "e1"}, "local",
+		},
+		{"quarantined", quarantine, sched.Grant{Engine: "e1"}, ""},
+		{"quarantined, to be tested", quarantine, sched.Grant{Engine: "e1", Probe: true}, "e1"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			withCache(t, func(s *stub.Store, sc *storeCache) {
-				tt.do(s)
-				time.Sleep(time.Second)
 				tickets := testTickets()
 				tickets.departed = sc.departed
 				tickets.scheduler.SetConfig(&topo.Config{Services: map[string]topo.Service{"llm": {
@@ -49,44 +82,24 @@
 				tickets.scheduler.SetUpstreams(time.Now(), []*topo.Upstream{
 					{ID: "local", Service: "llm", Slots: 8, Models: []topo.Resident{{Name: "m"}}},
 				})
+				tt.do(s, tickets)
+				time.Sleep(time.Second)
 				ours, leader := net.Pipe()
 				tickets.leaderConn = link.NewConn(ours)
 				var released atomic.Bool
-				go func() {
-					c := link.NewConn(leader)
-					for {
-						m, err := c.Receive()
-						if err != nil {
-							return
-						}
-						if m.Kind == link.Release {
-							released.Store(m.Ticket == 7)
-						}
-						if m.Kind != link.TicketRequest {
-							continue
-						}
-						grant := sched.Grant{Ticket: 7, Engine: tt.engine}
-						granted := &sched.Decision{Kind: sched.Granted, Call: m.Call, Grant: grant}
-						if c.Send(&link.Message{Kind: link.Reply, Call: m.Call, Decision: granted}) != nil {
-							return
-						}
-					}
-				}()
+				tt.grant.Ticket = 7
+				go serveGrants(link.NewConn(leader), tt.grant, &released)
 				go func() { _ = tickets.readReplies(tickets.leaderConn) }()
+				spec := topo.CallSpec{Model: "m", PromptTokens: 10, Segments: []topo.PromptSegment{{ID: 1}, {ID: 2}}}
 				decision, err := tickets.RequestTicket(context.Background(), sched.Request{
-					Call: "c", Service: "llm", Remaining: time.Second, TargetLatency: time.Second,
-					Spec: topo.CallSpec{Model: "m", PromptTokens: 10, OutputTokens: 10},
+					Call: "c", Service: "llm", Remaining: time.Second, TargetLatency: time.Second, Spec: spec,
 				})
-				want := tt.engine
-				if tt.released {
-					want = "local"
-				}
-				if err != nil || decision.Grant.Engine != want {
-					t.Errorf("%+v, %v, want a grant of %s", decision, err, want)
+				if err != nil || decision.Grant.Engine != tt.want {
+					t.Errorf("%+v, %v, want a grant of %q", decision, err, tt.want)
 				}
 				time.Sleep(time.Second)
-				if released.Load() != tt.released {
-					t.Errorf("ticket of the leader released: %v, want %v", released.Load(), tt.released)
+				if want := tt.want != tt.grant.Engine; released.Load() != want {
+					t.Errorf("ticket of the leader released: %v, want %v", released.Load(), want)
 				}
 				tickets.leaderConn.Close()
 			})
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -15,8 +15,8 @@
 	// commonCauseTime is the time within which engines that break count as one, because an outage breaks many at once.
 	// An engine that got its call after the one before had broken counts by itself.
 	commonCauseTime = 100 * time.Millisecond
-	// memory is how long a served call clears its segments, and how long a crash counts.
-	memory = time.Minute
+	// retention is how long a served call clears its segments, and how long a crash counts.
+	retention = time.Minute
 	// maxSegments bounds how many segments are remembered, and maxInstances how many engines for each of them.
 	maxSegments  = 4096
 	maxInstances = 16
@@ -32,20 +32,6 @@
 )
 
 type (
-	// State is what hosts tell each other.
-	State struct {
-		Records []Record `cbor:"1,keyasint,omitempty"`
-		Reports []Report `cbor:"2,keyasint,omitempty"`
-	}
-
-	// Report is an engine that broke under a call. Its times are durations, because the clocks of hosts differ.
-	Report struct {
-		Instance string               `cbor:"1,keyasint"`
-		Segments []topo.PromptSegment `cbor:"2,keyasint"` // those that no call has cleared, and the last one
-		Age      time.Duration        `cbor:"3,keyasint"` // since the engine broke
-		Took     time.Duration        `cbor:"4,keyasint"` // from the sending of the call until then
-	}
-
 	// Record is a quarantine: calls with all of its segments are rejected while it is active.
 	Record struct {
 		Segments []uint64 `cbor:"1,keyasint"`           // ids, sorted
@@ -64,20 +50,7 @@
 		changed     []Record // not yet returned by Changes
 	}
 
-	crash struct {
-		at, sent time.Time
-		instance string
-		segments []topo.PromptSegment
-	}
-
-	// evidence is what is known of one segment.
-	evidence struct {
-		servedAt  time.Time
-		brokenAt  time.Time // when the last engine was counted
-		instances []string  // engine instances that broke
-		calls     []uint64  // last segments of the calls under which they broke, at most minCalls
-	}
-
+	// quarantine is a Record and what only this host needs of it.
 	quarantine struct {
 		Record
 		endedAt    time.Time // when it ended, if it is not active
@@ -165,67 +138,6 @@
 	return true
 }
 
-// State returns the quarantines, including those that have ended in the last minute, and the latest crashes for other
-// hosts. It returns nil if there are none.
-func (t *Table) State(now time.Time) *State {
-	var out State
-	for k, q := range t.records {
-		if !q.Active && now.Sub(q.endedAt) > memory {
-			delete(t.records, k)
-			continue
-		}
-		out.Records = append(out.Records, q.Record)
-	}
-	for _, c := range t.crashes {
-		age := now.Sub(c.at)
-		if suspects := t.suspects(now, c.segments); age < reportTime && len(suspects) > 1 {
-			r := Report{Instance: c.instance, Segments: suspects, Age: age, Took: c.at.Sub(c.sent)}
-			out.Reports = append(out.Reports, r)
-		}
-	}
-	if len(out.Records) == 0 && len(out.Reports) == 0 {
-		return nil
-	}
-	return &out
-}
-
-// Merge applies what another host knows; nil is nothing.
-func (t *Table) Merge(now time.Time, s *State) {
-	if s == nil {
-		return
-	}
-	for _, r := range s.Reports {
-		at := now.Add(-r.Age)
-		t.add(now, crash{at: at, sent: at.Add(-r.Took), instance: r.Instance, segments: r.Segments})
-	}
-	for _, r := range s.Records {
-		if len(r.Segments) == 0 {
-			// It would block every call.
-			continue
-		}
-		if !r.Active && t.records[key(r.Segments)] == nil {
-			continue
-		}
-		q := t.record(r.Segments)
-		if q == nil || r.Version <= q.Version {
-			continue
-		}
-		q.Active, q.Version, q.Cleared, q.endedAt = r.Active, r.Version, r.Cleared, now
-		q.probeAt, q.probeDelay = now.Add(initialProbeDelay), initialProbeDelay
-		t.changed = append(t.changed, q.Record)
-		if !q.Active {
-			t.clear(now, q.Cleared)
-			continue
-		}
-		t.endWider(now, q.Segments)
-		if t.coversOther(q) {
-			t.end(now, q)
-			continue
-		}
-		t.narrow(now, q)
-	}
-}
-
 // Changes returns the quarantines that have begun or ended since the previous call of Changes.
 func (t *Table) Changes() []Record {
 	out := t.changed
@@ -301,6 +213,7 @@
 	return false
 }
 
+// end ends a quarantine.
 func (t *Table) end(now time.Time, q *quarantine) {
 	q.Active, q.endedAt = false, now
 	q.Version++
@@ -336,90 +249,9 @@
 	return false
 }
 
-// known returns the evidence on a segment, or nil.
-func (t *Table) known(id uint64) *evidence {
-	if e := t.recent[id]; e != nil {
-		return e
-	}
-	return t.old[id]
-}
-
-// of returns the evidence on a segment, and creates it if there is none.
-func (t *Table) of(id uint64) *evidence {
-	if e := t.recent[id]; e != nil {
-		return e
-	}
-	e := t.old[id]
-	if e == nil {
-		e = &evidence{}
-	}
-	if t.recent == nil || len(t.recent) >= maxSegments/2 {
-		t.old, t.recent = t.recent, make(map[uint64]*evidence)
-	}
-	t.recent[id] = e
-	return e
-}
-
-// cleared reports whether a call with the segment was served lately.
-func (e *evidence) cleared(now time.Time) bool {
-	return !e.servedAt.IsZero() && now.Sub(e.servedAt) < memory
-}
-
-// suspects returns the segments that no call has cleared, and the last one.
-func (t *Table) suspects(now time.Time, segments []topo.PromptSegment) []topo.PromptSegment {
-	out := make([]topo.PromptSegment, 0, len(segments))
-	for i, s := range segments {
-		e := t.known(s.ID)
-		if i == len(segments)-1 || e == nil || !e.cleared(now) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-// isSame reports whether two crashes are of the same engine instance under the same call.
-func (c *crash) isSame(other crash) bool {
-	return c.instance == other.instance && c.call() == other.call()
-}
-
-// call identifies the call by its last segment, which no other call has.
-func (c *crash) call() uint64 { return c.segments[len(c.segments)-1].ID }
-
-// add counts an engine instance that broke under a call with the segment.
-func (e *evidence) add(now time.Time, c *crash) {
-	if e.cleared(now) {
-		return
-	}
-	if now.Sub(e.brokenAt) > memory {
-		*e = evidence{}
-	}
-	if len(e.calls) < minCalls && !slices.Contains(e.calls, c.call()) {
-		e.calls = append(e.calls, c.call())
-	}
-	commonCause := c.at.Sub(e.brokenAt).Abs() < commonCauseTime && !c.sent.After(e.brokenAt)
-	if commonCause || slices.Contains(e.instances, c.instance) || len(e.instances) == maxInstances {
-		return
-	}
-	e.instances = append(e.instances, c.instance)
-	if c.at.After(e.brokenAt) {
-		e.brokenAt = c.at
-	}
-}
-
 func (q *quarantine) blocks(ids []uint64) bool { return q.Active && containsAll(ids, q.Segments) }
 
-// shared returns the ids of the segments that other calls may have: all but the last one.
-func shared(segments []topo.PromptSegment) []uint64 {
-	if len(segments) == 0 {
-		return nil
-	}
-	out := make([]uint64, 0, len(segments)-1)
-	for _, s := range segments[:len(segments)-1] {
-		out = append(out, s.ID)
-	}
-	return out
-}
-
+// containsAll reports whether all ids are in the list.
 func containsAll(list, ids []uint64) bool {
 	for _, id := range ids {
 		if !slices.Contains(list, id) {
@@ -429,6 +261,7 @@
 	return true
 }
 
+// key returns the key of a quarantine in Table.records.
 func key(ids []uint64) string {
 	b := make([]byte, 0, 8*len(ids))
 	for _, id := range ids {
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -81,38 +81,45 @@
 		{
 			"one call with its retries",
 			[]step{crash(0, "a", 3, 10), crash(300, "b", 3, 10), crash(600, "c", 3, 10), crash(900, "d", 3, 10)},
-			nil, []uint64{3, 9},
+			nil,
+			[]uint64{3, 9},
 		},
 		{
 			"engines that break at the same time",
 			[]step{crash(0, "a", 3, 10), crash(20, "b", 3, 11), crash(40, "c", 3, 12), crash(60, "d", 3, 13)},
-			nil, []uint64{3, 9},
+			nil,
+			[]uint64{3, 9},
 		},
 		{
 			"each engine got its call after the one before had broken",
 			[]step{crash(0, "a", 3, 10), crash(85, "b", 3, 10), crash(170, "c", 3, 11)},
-			[]uint64{3, 9}, nil,
+			[]uint64{3, 9},
+			nil,
 		},
 		{
 			"one engine breaks again and again",
 			[]step{crash(0, "a", 3, 10), crash(300, "a", 3, 11), crash(600, "a", 3, 12), crash(900, "a", 3, 13)},
-			nil, []uint64{3, 9},
+			nil,
+			[]uint64{3, 9},
 		},
 		{
 			"served in between",
 			[]step{crash(0, "a", 3, 10), crash(300, "b", 3, 11), served(400, 3, 9), crash(600, "c", 3, 12)},
-			nil, []uint64{3, 9},
+			nil,
+			[]uint64{3, 9},
 		},
 		{"served afterwards", append(crashes, served(1000, 1, 2, 3, 12)), nil, []uint64{1, 2, 3, 9}},
 		{
 			"crashes long ago",
 			[]step{crash(0, "a", 3, 10), crash(300, "b", 3, 11), crash(90_000, "c", 3, 12)},
-			nil, []uint64{3, 9},
+			nil,
+			[]uint64{3, 9},
 		},
 		{
 			"served long ago",
 			[]step{served(0, 3, 9), crash(90_000, "a", 3, 10), crash(90_300, "b", 3, 11), crash(90_600, "c", 3, 12)},
-			[]uint64{3, 9}, nil,
+			[]uint64{3, 9},
+			nil,
 		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -84,6 +84,8 @@
 		PrefillTokens int           `cbor:"5,keyasint,omitempty"`
 		PrefillTime   time.Duration `cbor:"6,keyasint,omitempty"`
 		Streams       int           `cbor:"7,keyasint,omitempty"`
+		// Probe is set if the call tests a quarantine of its prompt.
+		Probe bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
