--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -42,12 +42,6 @@
 	roleInterval = 100 * time.Millisecond
 	// maxDeletions is how many deletions are kept for other hosts; hosts that miss older ones get all items.
 	maxDeletions = 500
-	// gracePeriod is how long upstreams and hosts stay in use after their entries expired during an outage of the
-	// store. Those that are alive write their entries again within about two seconds; any other has left and must get
-	// no further calls.
-	gracePeriod = 1500 * time.Millisecond
-	// graceWindow is how long after an outage of the store deleted entries still get the grace period.
-	graceWindow = time.Second
 )
 
 // storeCache is this host's copy of the configuration, the upstreams and the registered hosts in the store.
@@ -88,18 +82,6 @@
 	unreachable    bool                 // the last calls for this prefix failed
 }
 
-// origin says where a change of the copy came from.
-type origin struct {
-	via string        // the store, or the name or address of a host
-	age time.Duration // how old the copy was, an upper bound of the delay of the change
-}
-
-// Origins of changes that no other host has sent.
-const (
-	originStore = "store"
-	originGrace = "grace period" // the grace period after an outage has ended
-)
-
 func newStoreCache(
 	p *Platform, limits ageLimits, s *elect.Elector, st *stats.Set, log zerolog.Logger,
 ) *storeCache {
@@ -286,72 +268,6 @@
 	}
 }
 
-// stopCalls records that this host makes no calls for a prefix, because its sources are current. So its next call is
-// not taken for the end of an outage.
-func (sc *storeCache) stopCalls(prefix string) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	p := sc.states[prefix]
-	p.unreachable, p.failures = false, 0
-	sc.outageAt = 0
-}
-
-// confirmOutage records that another host cannot reach the store either while this one cannot. Entries may expire in an
-// outage of the store although their owners live; the loss of this host's own path to the store says nothing of them.
-func (sc *storeCache) confirmOutage() {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	sc.outageAt = sc.now()
-}
-
-// knowsOthers reports whether another host is registered that could confirm an outage.
-func (sc *storeCache) knowsOthers() bool {
-	_, registered := sc.hosts[elect.HostPrefix+sc.elector.Self.Name]
-	return len(sc.hosts) > 1 || len(sc.hosts) == 1 && !registered
-}
-
-// inOutage reports whether an outage of the store has been confirmed and no host has reached it for a while.
-func (sc *storeCache) inOutage() bool {
-	return sc.outageAt > sc.states[sc.platform.UpstreamPrefix].confirmedAt+sc.limits.Max
-}
-
-// confirm records that the copy of a prefix is complete as of a boot time. It wakes the hosts that wait for changes,
-// because they bound the age of their copies.
-func (sc *storeCache) confirm(prefix string, at time.Duration) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	p := sc.states[prefix]
-	if at <= p.confirmedAt {
-		return
-	}
-	if prefix != sc.platform.UpstreamPrefix {
-		p.confirmedAt = at
-		return
-	}
-	wasOutage := sc.inOutage()
-	p.confirmedAt = at
-	if wasOutage && !sc.inOutage() {
-		sc.outageEnd = sc.now()
-	}
-	sc.notify()
-}
-
-// isCurrent reports whether the copy of the upstreams is not older than the limit.
-func (sc *storeCache) isCurrent() bool {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	at := sc.states[sc.platform.UpstreamPrefix].confirmedAt
-	return at > 0 && sc.now()-at <= sc.limits.Max
-}
-
-// origin returns the origin of changes that arrive now.
-func (sc *storeCache) origin(p *prefixState, via string) origin {
-	if p.confirmedAt == 0 {
-		return origin{via: via}
-	}
-	return origin{via: via, age: sc.now() - p.confirmedAt}
-}
-
 // unreachable reports whether the last store call for any prefix failed.
 func (sc *storeCache) unreachable() bool {
 	sc.mu.Lock()
@@ -485,36 +401,6 @@
 	sc.notify()
 }
 
-// remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store had an outage
-// until a moment ago.
-func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64, from origin) {
-	delete(p.items, key)
-	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
-	if n := len(p.deletions) - maxDeletions; n > 0 {
-		p.deletionsSince = p.deletions[n-1].Revision
-		p.deletions = append(p.deletions[:0], p.deletions[n:]...)
-	}
-	afterOutage := sc.inOutage() || sc.outageEnd > 0 && sc.now()-sc.outageEnd < graceWindow
-	if afterOutage && p.prefix != sc.platform.ConfigPrefix {
-		p.graceUntil[key] = now.Add(gracePeriod)
-		sc.log.Info().Str("key", key).Str("via", from.via).Dur("age_ms", from.age).
-			Msg("expired entry stays in use for a while")
-		return
-	}
-	sc.discard(key, from)
-}
-
-func (sc *storeCache) discard(key string, from origin) {
-	if u := sc.upstreams[key]; u != nil {
-		sc.log.Info().Str("upstream", u.ID).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream removed")
-		delete(sc.upstreams, key)
-	}
-	if _, ok := sc.hosts[key]; ok {
-		delete(sc.hosts, key)
-		sc.hostsChange++
-	}
-}
-
 // hostChanges returns the number of changes of the registered hosts so far.
 func (sc *storeCache) hostChanges() int {
 	sc.mu.Lock()
@@ -522,25 +408,6 @@
 	return sc.hostsChange
 }
 
-// expireGrace discards upstreams and hosts whose grace period is over.
-func (sc *storeCache) expireGrace(now time.Time) {
-	changed := false
-	sc.mu.Lock()
-	for _, p := range sc.states {
-		for key, until := range p.graceUntil {
-			if now.After(until) {
-				delete(p.graceUntil, key)
-				sc.discard(key, origin{via: originGrace})
-				changed = true
-			}
-		}
-	}
-	sc.mu.Unlock()
-	if changed {
-		sc.onChange()
-	}
-}
-
 // Config returns the active configuration, or nil before there is one.
 func (sc *storeCache) Config() *topo.Config {
 	sc.mu.Lock()
--- a/internal/host/tickets_test.go
+++ b/internal/host/tickets_test.go
@@ -62,12 +62,14 @@
 		{"not known here yet", nothing, sched.Grant{Engine: "e3"}, "e3"},
 		{
 			"leaving", func(s *stub.Store, _ *ticketService) { s.Set("up/e1", "llm leaving") },
-			sched.Grant{Engine: "e1"}, "local",
+			sched.Grant{Engine: "e1"},
+			"local",
 		},
 		{"removed", func(s *stub.Store, _ *ticketService) { s.Delete("up/e1") }, sched.Grant{Engine: "e1"}, "local"},
 		{
 			"invalid entry", func(s *stub.Store, _ *ticketService) { s.Set("up/e1", "?") },
-			sched.Grant{Engine: "e1"}, "local",
+			sched.Grant{Engine: "e1"},
+			"local",
 		},
 		{"quarantined", quarantine, sched.Grant{Engine: "e1"}, ""},
 		{"quarantined, to be tested", quarantine, sched.Grant{Engine: "e1", Probe: true}, "e1"},
