Take the scheduler's lock once for each released ticket

Each release took the lock a second time to look for changed quarantines, on the leader for the calls of all hosts. The changes are now read under the lock that the release holds anyway. No change of behaviour.

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -47,9 +47,10 @@
 	case link.Release:
 		s.mu.Lock()
 		s.scheduler.Release(time.Now(), m.Ticket, m.Outcome)
+		changed := s.scheduler.Poison.Changes()
 		delete(f.tickets, m.Ticket)
 		s.mu.Unlock()
-		s.logQuarantines(s.self)
+		s.logQuarantines(changed, s.self)
 		s.wake()
 	}
 }
--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -30,15 +30,13 @@
 	}
 	s.mu.Lock()
 	s.scheduler.Poison.Merge(time.Now(), state)
+	changed := s.scheduler.Poison.Changes()
 	s.mu.Unlock()
-	s.logQuarantines(via)
+	s.logQuarantines(changed, via)
 }
 
 // logQuarantines logs the quarantines that have begun or ended; via is the host that has told this one.
-func (s *ticketService) logQuarantines(via string) {
-	s.mu.Lock()
-	changed := s.scheduler.Poison.Changes()
-	s.mu.Unlock()
+func (s *ticketService) logQuarantines(changed []poison.Record, via string) {
 	for _, r := range changed {
 		segments := make([]string, 0, len(r.Segments))
 		for _, id := range r.Segments {
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -104,9 +104,10 @@
 	s.mu.Lock()
 	delete(s.openTickets, g.Ticket)
 	s.scheduler.Release(time.Now(), g.Ticket, outcome)
+	changed := s.scheduler.Poison.Changes()
 	leader := s.leaderConn
 	s.mu.Unlock()
-	s.logQuarantines(s.self)
+	s.logQuarantines(changed, s.self)
 	s.wake()
 	s.send(leader, &link.Message{Kind: link.Release, Ticket: g.Ticket, Outcome: outcome})
 }
