Log what upstreams state about the calls that they take

The logs could not tell the hypotheses for calls beyond stated limits apart: no line said that an engine had stated a limit. Responses are now decoded once (limit, leaving, hold) into a table per host, and each statement is logged and counted when it begins and ends. No decision uses it yet.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -83,6 +83,7 @@
 func (c *call) attemptModel(g sched.Grant) (attemptResult, sched.Outcome) {
 	c.tried = append(c.tried, g.Engine)
 	c.firstEventSent = false
+	sent := time.Now()
 	res, err := c.s.Pool.Do(c.ctx, c.upstreamRequest(g.Addr, g.Engine))
 	if errors.Is(err, h1.ErrNotSent) {
 		c.s.Stats.CountRetry("not_sent")
@@ -93,6 +94,7 @@
 		c.logBroken(g, err)
 		return c.handleFailure(), c.failureOutcome(sched.Broken)
 	}
+	c.s.applyNotice(sent, topo.Instance{ID: g.Engine, Boot: g.Boot}, res)
 	if res.Status == http.StatusOK && c.route.Kind == topo.Stream {
 		return c.relayStream(res, g)
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -165,6 +165,7 @@
 
 func (c *call) attemptPlain(u *topo.Upstream) attemptResult {
 	c.tried = append(c.tried, u.ID)
+	sent := time.Now()
 	res, err := c.s.Pool.Do(c.ctx, c.upstreamRequest(u.Addr, u.ID))
 	if errors.Is(err, h1.ErrNotSent) {
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
@@ -177,6 +178,7 @@
 		return c.handleFailure()
 	}
 	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
+	c.s.applyNotice(sent, u.Instance(), res)
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
@@ -24,7 +25,9 @@
 // Server is the HTTP handler for calls; its exported fields are set before use.
 type Server struct {
 	Headers     Headers
-	ParseLoad   ParseLoad // nil if upstreams do not state their load
+	ParseLoad   ParseLoad   // nil if upstreams do not state their load
+	ParseNotice ParseNotice // nil if upstreams do not state which calls they take
+	Notices     *notice.Table
 	ParseSpec   ParseSpec
 	Domain      string // failure domain of this host
 	Config      func() *topo.Config
@@ -54,6 +57,20 @@
 	return load
 }
 
+// applyNotice records what an upstream states in its response about the calls that it takes. Malformed statements are
+// counted and ignored.
+func (s *Server) applyNotice(sent time.Time, id topo.Instance, res *h1.Response) {
+	if s.ParseNotice == nil {
+		return
+	}
+	n, err := s.ParseNotice(res.Status, res.Header)
+	if err != nil {
+		s.Stats.CountEvent("notice_malformed")
+		s.Log.Debug().Err(err).Str("upstream", id.ID).Msg("statement of upstream ignored")
+	}
+	s.Notices.Apply(time.Now(), sent, id, n)
+}
+
 // call is the state of one call of a caller.
 type call struct {
 	s                *Server
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/figreel/figreel/internal/entry"
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
@@ -117,8 +118,10 @@
 		stats: h.Stats, log: h.Log,
 	}
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
+	notices := &notice.Table{Changed: h.logNotice}
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
+		ParseNotice: h.Platform.ParseNotice, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config,
 		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{Domain: s.Domain, Upstreams: h.cache.Upstreams},
 		RetryBudget: &retryBudget{
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -45,6 +45,8 @@
 		Headers   entry.Headers
 		ParseSpec entry.ParseSpec
 		ParseLoad entry.ParseLoad
+		// ParseNotice parses what upstreams state in their responses about the calls that they take.
+		ParseNotice entry.ParseNotice
 		// Serve serves the readiness endpoint and the address directory until ctx ends.
 		Serve func(ctx context.Context, endpoints Endpoints) error
 	}
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -1,5 +1,7 @@
 package topo
 
+import "time"
+
 type (
 	// CallSpec is what a call requires from an engine.
 	CallSpec struct {
@@ -40,6 +42,21 @@
 		Slowdown float64 `cbor:"4,keyasint"`           // how long work takes now; 1 is usual
 	}
 
+	// Instance is one start of an upstream.
+	Instance struct {
+		ID   string `cbor:"1,keyasint"`
+		Boot int64  `cbor:"2,keyasint"`
+	}
+
+	// Notice is what an upstream states in a response about the calls that it takes.
+	Notice struct {
+		Limited bool          // it takes at most Limit calls
+		Limit   float64       // calls per second from all hosts together
+		Leaving bool          // it takes no further calls
+		Hold    time.Duration // it wants no calls from this host for this long; 0 if it does not say so
+		Partial bool          // what the response leaves out is not taken back by it
+	}
+
 	// Adapter names an adapter of a model.
 	Adapter struct{ Model, Name string }
 
--- a/internal/topo/types.go
+++ b/internal/topo/types.go
@@ -119,6 +119,9 @@
 	}
 )
 
+// Instance returns the instance that the upstream is.
+func (u *Upstream) Instance() Instance { return Instance{ID: u.ID, Boot: u.Boot} }
+
 // HasModel reports whether the model is resident on the engine.
 func (u *Upstream) HasModel(model string) bool {
 	return slices.ContainsFunc(u.Models, func(r Resident) bool { return r.Name == model })
