--- /dev/null
+++ b/internal/host/limit_test.go
@@ -0,0 +1,282 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/figreel/figreel/internal/entry"
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/notice"
+	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/topo"
+)
+
+const (
+	// Of limitEngines engines and plainUpstreams upstreams of a plain service, most state a limit after statedAfter. The
+	// rule counts from contactTime later on, over limitWindow.
+	limitHosts     = 6
+	limitEngines   = 12
+	plainUpstreams = 3
+	statedAfter    = 2 * time.Second
+	contactTime    = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitRun       = 16 * time.Second
+	modelRate      = 50 // calls per second
+	plainRate      = 20
+	serviceTime    = 60 * time.Millisecond
+)
+
+type (
+	// limitFleet is a set of hosts that send calls to upstreams of which some state a limit.
+	limitFleet struct {
+		hosts     []*limitHost
+		engines   []*topo.Upstream
+		plain     []*topo.Upstream
+		limits    map[string]float64 // by upstream
+		started   time.Time
+		conns     []*link.Conn
+		ctx       context.Context
+		mu        sync.Mutex
+		arrivals  map[string][]time.Time
+		abandoned int // calls that no upstream got
+		calls     int
+	}
+
+	limitHost struct {
+		tickets  *ticketService
+		balancer *entry.Balancer
+		notices  *notice.Table
+	}
+)
+
+func newLimitFleet(limits map[string]float64) *limitFleet {
+	f := &limitFleet{started: time.Now(), limits: limits, arrivals: make(map[string][]time.Time)}
+	for i := range limitEngines {
+		f.engines = append(f.engines, &topo.Upstream{
+			ID: fmt.Sprint("e", i), Service: "llm", Boot: 1, Slots: 8, Models: []topo.Resident{{Name: "m"}},
+		})
+	}
+	for i := range plainUpstreams {
+		f.plain = append(f.plain, &topo.Upstream{ID: fmt.Sprint("p", i), Service: "plain", Boot: 1, Slots: 8})
+	}
+	for i := range limitHosts {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	return f
+}
+
+func (f *limitFleet) newHost(i int) *limitHost {
+	h := &limitHost{tickets: testTickets(), notices: &notice.Table{}}
+	h.tickets.self = fmt.Sprint("host-", i)
+	h.tickets.departed = func(string) bool { return false }
+	h.tickets.loadAdapters = func([]sched.AdapterLoad) {}
+	h.tickets.scheduler.SetConfig(&topo.Config{Services: map[string]topo.Service{
+		"llm": {Name: "llm", Engine: &topo.EngineSpec{Slots: 8, KVTokens: 100_000, Models: []topo.Model{{Name: "m"}}}},
+	}})
+	h.tickets.scheduler.SetUpstreams(time.Now(), f.engines)
+	h.balancer = &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return f.plain }}
+	return h
+}
+
+// lead makes a host the leader and connects the others to it, or disconnects all if i is negative.
+func (f *limitFleet) lead(i int) {
+	for _, c := range f.conns {
+		c.Close()
+	}
+	f.conns = nil
+	for j, h := range f.hosts {
+		if i < 0 || j == i {
+			continue
+		}
+		ours, theirs := net.Pipe()
+		c, s := link.NewConn(ours), link.NewConn(theirs)
+		f.conns = append(f.conns, c, s)
+		go f.hosts[i].tickets.serveFollower(s, &link.Message{Kind: link.Hello, Host: h.tickets.self})
+		h.tickets.mu.Lock()
+		h.tickets.leaderConn = c
+		h.tickets.mu.Unlock()
+		go func() {
+			_ = h.tickets.readReplies(c)
+			h.tickets.mu.Lock()
+			if h.tickets.leaderConn == c {
+				h.tickets.leaderConn = nil
+			}
+			h.tickets.mu.Unlock()
+		}()
+	}
+}
+
+// exchange passes on what hosts know, as their requests for changes do.
+func (f *limitFleet) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(600 * time.Millisecond)
+		now := time.Now()
+		a, b := f.hosts[rand.IntN(len(f.hosts))], f.hosts[0]
+		b.notices.Merge(now, a.notices.State(now), "a")
+		for _, h := range f.hosts[1:] {
+			h.notices.Merge(now, b.notices.State(now), "b")
+		}
+	}
+}
+
+// arrive counts a call at an upstream and returns what the response states.
+func (f *limitFleet) arrive(u string) topo.Notice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.arrivals[u] = append(f.arrivals[u], now)
+	limit, limited := f.limits[u]
+	if !limited || now.Sub(f.started) < statedAfter {
+		return topo.Notice{}
+	}
+	return topo.Notice{Limited: true, Limit: limit}
+}
+
+func (f *limitFleet) abandon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandoned++
+}
+
+func (f *limitFleet) callModel(h *limitHost, name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	dec, err := h.tickets.RequestTicket(ctx, sched.Request{
+		Call: name, Service: "llm", Remaining: 2 * time.Second, TargetLatency: time.Second,
+		Spec: topo.CallSpec{Model: "m", PromptTokens: 200, OutputTokens: 50},
+	})
+	if err != nil || dec.Kind != sched.Granted {
+		f.abandon()
+		return
+	}
+	sent := time.Now()
+	n := f.arrive(dec.Grant.Engine)
+	time.Sleep(serviceTime)
+	h.notices.Apply(time.Now(), sent, topo.Instance{ID: dec.Grant.Engine, Boot: 1}, n)
+	h.tickets.FirstEvent(dec.Grant, nil)
+	h.tickets.Release(dec.Grant, sched.Served)
+}
+
+func (f *limitFleet) callPlain(h *limitHost) {
+	u := h.balancer.Pick(time.Now(), "plain", nil)
+	if u == nil {
+		f.abandon()
+		return
+	}
+	sent := time.Now()
+	n := f.arrive(u.ID)
+	time.Sleep(serviceTime)
+	h.notices.Apply(time.Now(), sent, u.Instance(), n)
+	h.balancer.Done(time.Now(), u.ID, false)
+}
+
+// run sends calls at random hosts for limitRun, and calls step every half second.
+func (f *limitFleet) run(rng *rand.Rand, step func(i int)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
+	go f.exchange(ctx)
+	for _, h := range f.hosts {
+		go h.tickets.run(ctx)
+	}
+	for i := 0; time.Since(f.started) < limitRun; i++ {
+		if i%(modelRate/2) == 0 {
+			step(i / (modelRate / 2))
+		}
+		h := f.hosts[rng.IntN(len(f.hosts))]
+		go f.callModel(h, fmt.Sprint("m", i))
+		f.calls++
+		if rng.Float64() < float64(plainRate)/modelRate {
+			f.calls++
+			go f.callPlain(f.hosts[rng.IntN(len(f.hosts))])
+		}
+		time.Sleep(time.Second / modelRate)
+	}
+	time.Sleep(3 * time.Second)
+	cancel()
+	f.lead(-1)
+	time.Sleep(3 * time.Second)
+}
+
+// worst returns the largest number of calls in a window beyond what the limit of the upstream allows.
+func (f *limitFleet) worst(u string) (excess, calls int) {
+	limit := f.limits[u]
+	allowed := int(1.5*limit*limitWindow.Seconds() + 5)
+	list := f.arrivals[u]
+	excess = -allowed
+	for i, at := range list {
+		if at.Sub(f.started) < statedAfter+contactTime {
+			continue
+		}
+		n, _ := slices.BinarySearchFunc(list[i:], at.Add(limitWindow), time.Time.Compare)
+		if n-allowed > excess {
+			excess, calls = n-allowed, n
+		}
+	}
+	return excess, calls
+}
+
+// Guards against upstreams that get more calls than the limit that they state, which counts for all hosts together:
+// engines, whose calls one leader schedules, and upstreams of plain services, which every host balances alone.
+func TestStatedLimits(t *testing.T) {
+	half := map[string]float64{"p0": 3, "p1": 2}
+	for i := range limitEngines * 2 / 3 {
+		half[fmt.Sprint("e", i)] = 1 + float64(i)/3
+	}
+	all := map[string]float64{"p0": 3, "p1": 2, "p2": 0.5}
+	for i := range limitEngines {
+		all[fmt.Sprint("e", i)] = 0.3 + float64(i)/4
+	}
+	for _, tt := range []struct {
+		name         string
+		limits       map[string]float64
+		step         func(f *limitFleet, i int)
+		maxAbandoned float64 // share of the calls
+	}{
+		{"steady leader", half, func(*limitFleet, int) {}, 0.02},
+		{"every upstream is limited", all, func(*limitFleet, int) {}, 0.6},
+		{"leader changes every 2 s", half, func(f *limitFleet, i int) {
+			if i%4 == 0 {
+				f.lead(i / 4 % limitHosts)
+			}
+		}, 0.05},
+		{"no leader for 5 s", half, func(f *limitFleet, i int) {
+			switch i {
+			case 10:
+				f.lead(-1)
+			case 20:
+				f.lead(3)
+			}
+		}, 0.05},
+		{"hosts restart in turn", half, func(f *limitFleet, i int) {
+			if n := i / 4; i%4 == 0 && n > 0 && n < limitHosts {
+				f.hosts[n] = f.newHost(n)
+				go f.hosts[n].tickets.run(f.ctx)
+				f.lead(0)
+			}
+		}, 0.05},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitFleet(tt.limits)
+				f.lead(0)
+				f.run(rand.New(rand.NewPCG(1, 2)), func(i int) { tt.step(f, i) })
+				for u, limit := range tt.limits {
+					if excess, calls := f.worst(u); excess > 0 {
+						t.Errorf("%s states %.2f calls a second and got %d in %v, %d too many", u, limit, calls,
+							limitWindow, excess)
+					}
+				}
+				if share := float64(f.abandoned) / float64(f.calls); share > tt.maxAbandoned {
+					t.Errorf("%.3f of the calls got no upstream, want at most %.2f", share, tt.maxAbandoned)
+				}
+			})
+		})
+	}
+}
