Keep the limits that upstreams state, over all hosts together

Upstreams that state a limit got up to twice the calls that it allows; callers saw nothing of it. Cause: nothing used the statement. Class: a decision without an input that only the other side has, and that only counts in sum.

One table per host (internal/notice) holds what upstreams state, by instance. The leader, which schedules the model calls of the hosts connected to it, uses the share of each limit that these hosts have; a host without a leader and the balancers of plain services use one share of all hosts. A call waits for its turn if its target and deadline allow it, and is otherwise rejected at once with the time of its turn. Hosts pass statements on with the changes of the store, and to the leader at once. The same table also keeps departures and holds that upstreams state.

--- a/internal/entry/balancer_test.go
+++ b/internal/entry/balancer_test.go
@@ -31,7 +31,7 @@
 			at := now.Add(tt.age)
 			onA := 0
 			for range 100 {
-				u := b.Pick(at, "plain", nil)
+				u, _ := b.Pick(at, "plain", nil, 0)
 				if u.ID == "a" {
 					onA++
 				}
@@ -45,7 +45,7 @@
 	b := &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return list }}
 	b.SetLoad(now, "a", &topo.Load{Running: 60000, Slots: 1, Slowdown: 100})
 	for range 20 {
-		if u := b.Pick(now, "plain", nil); u.ID == "a" {
+		if u, _ := b.Pick(now, "plain", nil, 0); u.ID == "a" {
 			return
 		}
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -10,7 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -32,6 +34,13 @@
 	busyPenalty      = 1.0
 	maxLoadPenalty   = 3.0
 	loadTimeConstant = 250 * time.Millisecond
+	// waitPenalty is added to the score for each second that the limit of an upstream delays a call.
+	waitPenalty = 10.0
+	// waitShare is the share of the time left until its deadline that a call may wait for the limit of an upstream.
+	// maxLateness bounds the wait as a multiple of the target latency, so that calls do not delay others that can still
+	// meet their targets.
+	waitShare   = 0.7
+	maxLateness = 1.6
 )
 
 type (
@@ -39,6 +48,10 @@
 	Balancer struct {
 		Domain    string
 		Upstreams func(service string) []*topo.Upstream
+		// Notices holds what upstreams state about the calls that they take; nil holds nothing.
+		Notices *notice.Table
+		// LimitShare returns the share of the upstreams' limits that the calls of this host may use.
+		LimitShare func() float64
 
 		mu    sync.Mutex
 		state map[string]*upstreamState
@@ -54,37 +67,80 @@
 	}
 )
 
-// Pick returns the upstream with the lowest score that is not in tried, and counts a call in flight there. It returns
-// nil if there is none.
-func (b *Balancer) Pick(now time.Time, service string, tried []string) *topo.Upstream {
+// Pick returns the upstream with the lowest score that is not in tried, and counts a call in flight there. The call may be
+// sent after the wait, which is at most maxWait; it is reserved at the upstream's limit. If no upstream takes a call that
+// soon, Pick returns nil and the time after which one may, or 0 if there is none.
+func (b *Balancer) Pick(now time.Time, service string, tried []string, maxWait time.Duration) (
+	best *topo.Upstream, wait time.Duration,
+) {
 	list := b.Upstreams(service)
+	share := b.limitShare()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *topo.Upstream
 	var bestScore float64
+	var bestWait, soonest time.Duration
 	for _, u := range list {
-		if slices.Contains(tried, u.ID) {
+		id := u.Instance()
+		if slices.Contains(tried, u.ID) || b.Notices.IsLeaving(id) {
 			continue
 		}
-		st := b.stateOf(u.ID)
-		score := float64(st.inFlight) + failurePenalty*st.failureRate + st.loadPenalty(now) + rand.Float64()/2
-		if u.Domain != b.Domain {
-			score += domainBias
-		}
-		if now.Before(st.backoffUntil) {
-			score += 2 * failurePenalty
-		}
-		if u.Leaving {
-			score += 4 * failurePenalty
+		rest, held := b.Notices.LimitWait(now, id, share), b.Notices.HoldWait(now, id)
+		if held > 0 || rest > maxWait {
+			if rest = max(rest, held); soonest == 0 || rest < soonest {
+				soonest = rest
+			}
+			continue
 		}
+		score := b.score(now, u) + waitPenalty*rest.Seconds()
 		if best == nil || score < bestScore {
-			best, bestScore = u, score
+			best, bestScore, bestWait = u, score, rest
 		}
 	}
-	if best != nil {
-		b.stateOf(best.ID).inFlight++
+	if best == nil {
+		return nil, soonest
+	}
+	b.stateOf(best.ID).inFlight++
+	b.Notices.Take(now, best.Instance(), share)
+	return best, bestWait
+}
+
+// score returns how much speaks against the upstream.
+func (b *Balancer) score(now time.Time, u *topo.Upstream) float64 {
+	st := b.stateOf(u.ID)
+	score := float64(st.inFlight) + failurePenalty*st.failureRate + st.loadPenalty(now) + rand.Float64()/2
+	if u.Domain != b.Domain {
+		score += domainBias
+	}
+	if now.Before(st.backoffUntil) {
+		score += 2 * failurePenalty
+	}
+	if u.Leaving {
+		score += 4 * failurePenalty
 	}
-	return best
+	return score
+}
+
+// admits reports whether a call may be sent to an upstream that Pick has returned. While the call waited, the upstream
+// may have left or asked for no further calls.
+func (b *Balancer) admits(now time.Time, u *topo.Upstream) bool {
+	listed := slices.ContainsFunc(b.Upstreams(u.Service), func(o *topo.Upstream) bool {
+		return o.Instance() == u.Instance()
+	})
+	return listed && b.Notices.Admit(now, u.Instance())
+}
+
+// cancel returns an upstream that Pick has returned and that got no call.
+func (b *Balancer) cancel(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stateOf(id).inFlight--
+}
+
+func (b *Balancer) limitShare() float64 {
+	if b.LimitShare == nil {
+		return 1
+	}
+	return b.LimitShare()
 }
 
 // Done records that a call at an upstream ended; failed means that the upstream caused a failure.
@@ -148,9 +204,13 @@
 // is allowed.
 func (c *call) servePlain() {
 	for {
-		u := c.s.Balancer.Pick(time.Now(), c.service, c.tried)
+		u, retryAfter := c.pickUpstream()
 		if u == nil {
-			c.finishWithoutResponse(reasonNoUpstream)
+			reason := reasonNoUpstream
+			if retryAfter > 0 {
+				reason = reasonUpstreamLimits
+			}
+			c.finishUnserved(reason, max(retryAfter, defaultRetryAfter))
 			return
 		}
 		if c.attemptPlain(u) == completed {
@@ -163,6 +223,34 @@
 	}
 }
 
+// pickUpstream picks an upstream and waits until its limit allows the call. If no upstream takes the call soon enough, it
+// returns nil and the time after which one may, or 0 if there is none.
+func (c *call) pickUpstream() (u *topo.Upstream, retryAfter time.Duration) {
+	for {
+		u, wait := c.s.Balancer.Pick(time.Now(), c.service, c.tried, c.maxWait())
+		if u == nil {
+			return nil, wait
+		}
+		if wait > 0 && !clock.Sleep(c.ctx, wait) {
+			c.s.Balancer.cancel(u.ID)
+			return nil, wait
+		}
+		if c.s.Balancer.admits(time.Now(), u) {
+			return u, 0
+		}
+		c.s.Balancer.cancel(u.ID)
+	}
+}
+
+// maxWait returns how long the call may wait for the limit of an upstream.
+func (c *call) maxWait() time.Duration {
+	left := time.Duration(waitShare * float64(time.Until(c.deadline)))
+	if c.route.TargetLatency <= 0 {
+		return left
+	}
+	return min(left, time.Duration(maxLateness*float64(c.route.TargetLatency)))
+}
+
 func (c *call) attemptPlain(u *topo.Upstream) attemptResult {
 	c.tried = append(c.tried, u.ID)
 	sent := time.Now()
@@ -243,9 +331,12 @@
 	return c.attempts == 0 || c.s.RetryBudget.Spend(c.service)
 }
 
-// finishWithoutResponse ends the call when no further attempt is possible. It relays the fallback response if there is
-// one, and otherwise rejects the call only if no upstream can have executed it.
-func (c *call) finishWithoutResponse(reason string) {
+// finishWithoutResponse is finishUnserved for a call that is not known to be served better after some time.
+func (c *call) finishWithoutResponse(reason string) { c.finishUnserved(reason, defaultRetryAfter) }
+
+// finishUnserved ends the call when no further attempt is possible. It relays the fallback response if there is one, and
+// otherwise rejects the call, with the time after which it may be served, only if no upstream can have executed it.
+func (c *call) finishUnserved(reason string, retryAfter time.Duration) {
 	switch {
 	case c.callerLeft():
 		c.logEnd(0, reasonCallerLeft)
@@ -253,7 +344,7 @@
 	case c.fallback != nil && !c.headerSent:
 		c.relayResponse(c.fallback.Status, c.fallback.Header, c.fallbackBody)
 	case !c.mayHaveExecuted:
-		c.reject(reason, defaultRetryAfter)
+		c.reject(reason, retryAfter)
 	case c.ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, reasonDeadline)
 	default:
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -25,6 +25,7 @@
 	reasonBadRequest      = "bad_request"
 	reasonTooLarge        = "body_too_large"
 	reasonNoUpstream      = "no_upstream"
+	reasonUpstreamLimits  = "limit_of_upstreams"
 	reasonStopping        = "host_stopping"
 	reasonRejected        = "rejected_by_upstreams"
 	reasonDeadline        = "deadline"
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -24,11 +24,16 @@
 		}
 		s.handle(f, m)
 	}
+	s.mu.Lock()
+	f.ended = true
+	s.mu.Unlock()
 	time.AfterFunc(rejoinPeriod, func() { s.releaseFollower(hello.Host, f) })
 }
 
 func (s *ticketService) handle(f *follower, m *link.Message) {
 	switch m.Kind {
+	case link.Notices:
+		s.notices.Merge(time.Now(), m.Notices, m.Host)
 	case link.TicketRequest:
 		if m.Request != nil {
 			s.requestFor(f, *m.Request)
@@ -57,6 +62,7 @@
 
 func (s *ticketService) requestFor(f *follower, req sched.Request) {
 	s.mu.Lock()
+	s.updateLimitShare()
 	decision := s.scheduler.Schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -101,7 +101,9 @@
 	}
 	limits := newAgeLimits(s.DrainTime)
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
-	h.tickets = newTicketService(s.Name, h.elector, h.Stats, h.Log)
+	notices := &notice.Table{Changed: h.noticeChanged}
+	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
+	h.tickets.hosts = h.cache.hostCount
 	h.tickets.departed = h.cache.departed
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
@@ -118,12 +120,13 @@
 		stats: h.Stats, log: h.Log,
 	}
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
-	notices := &notice.Table{Changed: h.logNotice}
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config,
-		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{Domain: s.Domain, Upstreams: h.cache.Upstreams},
+		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{
+			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
+		},
 		RetryBudget: &retryBudget{
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
 			hosts: h.cache.hostCount,
--- a/internal/host/limit_test.go
+++ b/internal/host/limit_test.go
@@ -31,6 +31,7 @@
 	modelRate      = 50 // calls per second
 	plainRate      = 20
 	serviceTime    = 60 * time.Millisecond
+	maxPlainWait   = 500 * time.Millisecond
 )
 
 type (
@@ -73,7 +74,10 @@
 }
 
 func (f *limitFleet) newHost(i int) *limitHost {
-	h := &limitHost{tickets: testTickets(), notices: &notice.Table{}}
+	h := &limitHost{tickets: testTickets()}
+	h.notices = h.tickets.notices
+	h.notices.Changed = func(c notice.Change) { h.tickets.tellLeader(c.Instance) }
+	h.tickets.hosts = func() int { return limitHosts }
 	h.tickets.self = fmt.Sprint("host-", i)
 	h.tickets.departed = func(string) bool { return false }
 	h.tickets.loadAdapters = func([]sched.AdapterLoad) {}
@@ -81,7 +85,9 @@
 		"llm": {Name: "llm", Engine: &topo.EngineSpec{Slots: 8, KVTokens: 100_000, Models: []topo.Model{{Name: "m"}}}},
 	}})
 	h.tickets.scheduler.SetUpstreams(time.Now(), f.engines)
-	h.balancer = &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return f.plain }}
+	h.balancer = &entry.Balancer{
+		Upstreams: func(string) []*topo.Upstream { return f.plain }, Notices: h.notices, LimitShare: h.tickets.hostShare,
+	}
 	return h
 }
 
@@ -165,11 +171,12 @@
 }
 
 func (f *limitFleet) callPlain(h *limitHost) {
-	u := h.balancer.Pick(time.Now(), "plain", nil)
+	u, wait := h.balancer.Pick(time.Now(), "plain", nil, maxPlainWait)
 	if u == nil {
 		f.abandon()
 		return
 	}
+	time.Sleep(wait)
 	sent := time.Now()
 	n := f.arrive(u.ID)
 	time.Sleep(serviceTime)
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -256,13 +256,14 @@
 	start := r.cache.now()
 	m, err := c.RoundTrip(ctx, &link.Message{
 		Kind: link.GetChanges, Host: r.self.Name, Prefixes: r.cache.knownRevisions(), WaitMS: wait.Milliseconds(),
-		Poison: r.tickets.poisonState(),
+		Poison: r.tickets.poisonState(), Notices: r.tickets.notices.State(time.Now()),
 	})
 	if err != nil {
 		return err
 	}
 	r.cache.merge(m.Prefixes, m.Host)
 	r.tickets.mergePoison(m.Poison, m.Host)
+	r.tickets.notices.Merge(time.Now(), m.Notices, m.Host)
 	if !m.Stale {
 		r.confirm(start + time.Duration(m.ConfirmedMS)*time.Millisecond)
 	}
@@ -337,11 +338,12 @@
 	for m.Kind == link.GetChanges {
 		arrived := r.cache.now()
 		r.tickets.mergePoison(m.Poison, m.Host)
+		r.tickets.notices.Merge(time.Now(), m.Notices, m.Host)
 		states, confirmedAt := r.waitForChanges(m)
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
 			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
-			Poison: r.tickets.poisonState(),
+			Poison: r.tickets.poisonState(), Notices: r.tickets.notices.State(time.Now()),
 		}
 		if err := c.Send(response); err != nil {
 			return
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -12,6 +12,7 @@
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
@@ -42,6 +43,10 @@
 	departed func(engine string) bool
 	// loadAdapters orders adapter loads that the scheduler asks for.
 	loadAdapters func([]sched.AdapterLoad)
+	// notices holds what upstreams state about the calls that they take. It also serves the scheduler.
+	notices *notice.Table
+	// hosts returns the number of hosts that share the limits of upstreams; nil means one.
+	hosts func() int
 
 	mu            sync.Mutex
 	scheduler     *sched.Scheduler
@@ -59,12 +64,15 @@
 	conn    *link.Conn
 	tickets map[uint64]bool // open tickets
 	waiting map[string]bool // calls that wait in the scheduler
+	ended   bool            // the connection has ended
 }
 
-func newTicketService(self string, s *elect.Elector, st *stats.Set, log zerolog.Logger) *ticketService {
+func newTicketService(
+	self string, s *elect.Elector, notices *notice.Table, st *stats.Set, log zerolog.Logger,
+) *ticketService {
 	return &ticketService{
-		self: self, elector: s, stats: st, log: log,
-		scheduler: &sched.Scheduler{FirstTicket: rand.Uint64() << 32},
+		self: self, elector: s, notices: notices, stats: st, log: log,
+		scheduler: &sched.Scheduler{FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1},
 		replies:   make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
 		openTickets: make(map[uint64]*sched.OpenTicket), followers: make(map[string]*follower),
 		wakeCh: make(chan struct{}, 1),
@@ -74,15 +82,24 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
+	req.Holds = s.holds()
 	if leader := s.usableLeaderConn(); leader != nil {
 		decision, ok, err := s.requestRemote(ctx, leader, req)
 		if ok || err != nil {
 			return decision, err
 		}
 		s.stats.CountEvent("local_decision")
-		req.Remaining -= time.Since(start)
 	}
-	return s.requestLocal(ctx, req)
+	for {
+		asked := req
+		asked.Remaining -= time.Since(start)
+		asked.Holds = s.holds()
+		decision, err := s.requestLocal(ctx, asked)
+		if err != nil || decision.Kind != sched.Granted || s.notices.Admit(time.Now(), instanceOf(decision.Grant)) {
+			return decision, err
+		}
+		s.Release(decision.Grant, sched.Canceled)
+	}
 }
 
 // FirstEvent reports the first event of a response, and the load that the engine stated with it or nil, to the local
@@ -139,6 +156,7 @@
 // step delivers the decisions on calls that waited and reports whether some still wait.
 func (s *ticketService) step() bool {
 	s.mu.Lock()
+	s.updateLimitShare()
 	decisions := s.scheduler.Step(time.Now())
 	type delivery struct {
 		reply    func(sched.Decision)
@@ -200,6 +218,7 @@
 func (s *ticketService) requestLocal(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	reply := make(chan sched.Decision, 1)
 	s.mu.Lock()
+	s.updateLimitShare()
 	decision := s.scheduler.Schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
@@ -313,6 +332,10 @@
 	case !g.Probe && s.blocks(&req.Spec):
 		s.stats.CountEvent("quarantined_grant")
 		return false
+	case !s.notices.Admit(time.Now(), instanceOf(g)):
+		s.log.Info().Str("call", req.Call).Str("upstream", g.Engine).Msg("leader granted an engine that takes no call")
+		s.stats.CountEvent("unwanted_grant")
+		return false
 	}
 	return true
 }
--- a/internal/host/tickets_test.go
+++ b/internal/host/tickets_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
@@ -20,7 +21,8 @@
 )
 
 func testTickets() *ticketService {
-	return newTicketService("h1", &elect.Elector{LeadershipChanged: func(bool) {}}, &stats.Set{}, zerolog.Nop())
+	e := &elect.Elector{LeadershipChanged: func(bool) {}}
+	return newTicketService("h1", e, &notice.Table{}, &stats.Set{}, zerolog.Nop())
 }
 
 // serveGrants answers the ticket requests of a host as a leader that grants them all, and reports whether the grant was
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/store"
@@ -41,6 +42,8 @@
 	GetChanges
 	// Changes is the response to GetChanges.
 	Changes
+	// Notices tells the leader what an upstream has just stated about the calls that it takes.
+	Notices
 )
 
 type (
@@ -72,6 +75,8 @@
 		ConfirmedMS int64 `cbor:"16,keyasint,omitempty"`
 		// Poison is what the sender of GetChanges or Changes knows of prompt segments that crash engines, or nil.
 		Poison *poison.State `cbor:"17,keyasint,omitempty"`
+		// Notices is what the sender of GetChanges, Changes or Notices knows of the statements of upstreams, or nil.
+		Notices *notice.State `cbor:"18,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -16,6 +16,8 @@
 	prefillTokens int           // prompt tokens that are not cached
 	loadsAdapter  bool          // the adapter has to be loaded first
 	waitForDecode bool          // the engine's streams need a decode interval first
+	delay         time.Duration // time for which the engine's statements allow no call
+	limited       bool          // the delay is that of the engine's limit
 	evict         *topo.Adapter // adapter to unload first, or nil
 }
 
@@ -38,6 +40,8 @@
 		}
 	}
 	switch {
+	case best != nil && best.delay > 0:
+		return s.waitForEngine(p, best, left)
 	case best == nil && replicas == 0:
 		return s.waitForModel(now, p, left)
 	case best == nil:
@@ -58,7 +62,11 @@
 // load has ended. It returns false if the call does not wait for an adapter or the engine cannot serve it any more.
 func (s *Scheduler) waitForAdapter(now time.Time, p *pending) (Decision, bool) {
 	e := s.engines[p.loadingOn]
-	if e == nil || !e.serves(now, p.Spec.Model) {
+	if e == nil || !s.serves(now, e, p.Spec.Model) {
+		p.loadingOn = ""
+		return Decision{}, false
+	}
+	if delay, _ := s.delay(now, p, e); delay > 0 {
 		p.loadingOn = ""
 		return Decision{}, false
 	}
@@ -80,7 +88,7 @@
 	var best *candidate
 	replicas := 0
 	for _, e := range s.holders(p.modelKey()) {
-		if !e.serves(now, p.Spec.Model) {
+		if !s.serves(now, e, p.Spec.Model) {
 			continue
 		}
 		replicas++
@@ -101,6 +109,9 @@
 	var prefill time.Duration
 	c.prefillTokens, prefill = s.estimatePrefill(now, p, e)
 	c.ttft = e.prefillBacklog(now) + prefill + responseOverhead
+	if c.delay, c.limited = s.delay(now, p, e); c.delay > 0 {
+		c.ttft += c.delay
+	}
 	if p.Spec.Adapter != "" {
 		delay, ok := s.adapterDelay(now, p, e, c)
 		if !ok {
@@ -151,6 +162,46 @@
 	}
 }
 
+// serves reports whether calls for the model may be sent to the engine, as far as the engine and its statements allow it.
+func (s *Scheduler) serves(now time.Time, e *engine, model string) bool {
+	return e.serves(now, model) && !s.Notices.IsLeaving(e.Instance())
+}
+
+// delay returns how long the statements of the engine allow no call like this one, and whether its limit is the reason.
+// Queued calls that wait for the same limit come first.
+func (s *Scheduler) delay(now time.Time, p *pending, e *engine) (delay time.Duration, limited bool) {
+	id := e.Instance()
+	delay = s.Notices.LimitWait(now, id, s.LimitShare)
+	if delay > 0 || e.delayed > 0 {
+		if limit, ok := s.Notices.LimitOf(id); ok {
+			delay += time.Duration(float64(e.delayed) / (limit * s.LimitShare) * float64(time.Second))
+		}
+	}
+	limited = delay > 0
+	for _, h := range p.Holds {
+		if rest := p.arrived.Add(h.For).Sub(now); h.Engine == id && rest > delay {
+			delay, limited = rest, false
+		}
+	}
+	return delay, limited
+}
+
+// waitForEngine leaves a call queued until the statements of its best engine allow it, or rejects it at once if that is
+// too late.
+func (s *Scheduler) waitForEngine(p *pending, c *candidate, left time.Duration) Decision {
+	if c.ttft > p.maxQueueTime(left) {
+		reason := ReasonHold
+		if c.limited {
+			reason = ReasonLimit
+		}
+		return s.reject(p, reason, c.delay)
+	}
+	if c.limited {
+		c.engine.delayed++
+	}
+	return Decision{Kind: Waiting, Call: p.Call}
+}
+
 // adapterDelay returns the time until the call's adapter can be resident on the engine, and false if it cannot be
 // loaded there now. It sets the candidate's loadsAdapter and evict.
 func (s *Scheduler) adapterDelay(now time.Time, p *pending, e *engine, c *candidate) (time.Duration, bool) {
@@ -213,6 +264,7 @@
 	}
 	t := s.newTicket(now, e, p)
 	e.addTicket(now, t)
+	s.Notices.Take(now, e.Instance(), s.LimitShare)
 	e.cache.add(p.prefixKeys, p.Spec.Segments)
 	streams, _ := e.streams()
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
@@ -324,7 +376,7 @@
 func (s *Scheduler) Engines() []*topo.Upstream {
 	out := make([]*topo.Upstream, 0, len(s.engines))
 	for _, e := range s.engines {
-		if e.listed && !e.Leaving {
+		if e.listed && !e.Leaving && !s.Notices.IsLeaving(e.Instance()) {
 			u := e.Upstream
 			u.Models = u.Models[:0:0]
 			for name := range e.models {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -32,6 +32,7 @@
 	slowdown            float64   // moving average of the ratio of observed to expected prefill time
 	load                topo.Load // as stated in the newest response
 	loadAt              time.Time // when it arrived
+	delayed             int       // queued calls that wait for this engine's limit
 	listed              bool      // in the latest list of upstreams
 	sequence            int64     // orders accepted since the start of the instance
 	reportedAt          time.Time // time of the last report
@@ -49,8 +50,8 @@
 	}
 }
 
-// instance identifies the engine process since its last start.
-func (e *engine) instance() string { return e.ID + "@" + strconv.FormatInt(e.Boot, 10) }
+// instanceName identifies the engine process since its last start.
+func (e *engine) instanceName() string { return e.ID + "@" + strconv.FormatInt(e.Boot, 10) }
 
 // setModels applies the resident models and adapters that the engine reports, and its adapter loads in progress. It
 // reports whether the resident or loading models have changed.
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -19,7 +19,7 @@
 	reserved := make(map[*engine]bool)
 	for _, e := range s.engines {
 		for model := range e.models {
-			if e.serves(now, model) {
+			if s.serves(now, e, model) {
 				replicas[model] = append(replicas[model], e)
 			}
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -107,6 +108,10 @@
 	FirstTicket uint64
 	// Poison holds the prompt segments that crash engines.
 	Poison poison.Table
+	// Notices holds what engines state about the calls that they take; nil holds nothing.
+	Notices *notice.Table
+	// LimitShare is the share of the engines' limits that the calls of this scheduler may use.
+	LimitShare float64
 
 	config       *topo.Config
 	models       map[modelKey]*topo.Model
@@ -299,6 +304,9 @@
 		return nil
 	}
 	slices.SortStableFunc(s.waiting, func(p, q *pending) int { return p.compare(now, q) })
+	for _, e := range s.engines {
+		e.delayed = 0
+	}
 	var out []Decision
 	queued := s.waiting[:0]
 	for _, p := range s.waiting {
@@ -388,7 +396,7 @@
 		e.notResidentUntil[t.request.Spec.Model] = now.Add(notResidentTime)
 	case Failed, Broken:
 		if outcome == Broken && !t.firstEvent {
-			s.Poison.Broken(now, t.granted, e.instance(), t.request.Spec.Segments)
+			s.Poison.Broken(now, t.granted, e.instanceName(), t.request.Spec.Segments)
 		}
 		e.failures++
 		e.backoffUntil = now.Add(min(initialBackoff<<min(e.failures-1, 8), maxBackoff))
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -22,6 +22,10 @@
 	ReasonOverload = "overloaded"
 	// ReasonQuarantine rejects a call with prompt segments that crash engines.
 	ReasonQuarantine = "quarantined_prompt"
+	// ReasonLimit rejects a call that the limits that the engines of its model state do not allow in time.
+	ReasonLimit = "limit_of_engines"
+	// ReasonHold rejects a call because the engines of its model want no calls from its host for a while.
+	ReasonHold = "hold_of_engines"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -61,6 +65,14 @@
 		GapTarget     time.Duration `cbor:"9,keyasint,omitempty"` // longest acceptable gap between events
 		// FirstEventIn is the time until the caller leaves if it has got no event; 0 means Remaining.
 		FirstEventIn time.Duration `cbor:"10,keyasint,omitempty"`
+		// Holds are the engines that want no calls from the host that received the call, and for how long.
+		Holds []Hold `cbor:"11,keyasint,omitempty"`
+	}
+
+	// Hold is an engine that wants no calls from a host for some time.
+	Hold struct {
+		Engine topo.Instance `cbor:"1,keyasint"`
+		For    time.Duration `cbor:"2,keyasint"`
 	}
 
 	// Decision is the answer to a Request.
