Use a new connection for a further attempt at the same upstream

A faulty upstream may send its refusal of a call once more on the kept connection. A further attempt of the same call at the same upstream has the same id, so the copy was taken for its response: the caller was told that the call had not run while the upstream ran it, or it ran at a second upstream. Responses to other calls were told apart by their ids already.

TestRefusalSentTwice failed before (503, want the response of the second attempt). The price is a new connection for calls that are tried at the same engine again, which only happens if no other one is left.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -484,3 +485,49 @@
 		t.Errorf("%d bytes were accepted", n)
 	}
 }
+
+// Guards against a second copy of an upstream's refusal that is taken for the response to a further attempt of the same
+// call: its caller would be told that a call has not run that the upstream runs.
+func TestRefusalSentTwice(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	refusal := crlf.Replace(strings.ReplaceAll(notExecuted, "$ID", "c1"))
+	var requests atomic.Int32
+	serve := func(nc net.Conn) {
+		defer func() { _ = nc.Close() }()
+		br := bufio.NewReader(nc)
+		for kept := false; ; kept = true {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			response := refusal
+			if requests.Add(1) > 1 {
+				response = crlf.Replace(strings.ReplaceAll(okResponse, "$ID", "c1"))
+			}
+			if kept {
+				response = refusal + response
+			}
+			_, _ = io.WriteString(nc, response)
+		}
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(nc)
+		}
+	}()
+	u := &upstream{addr: l.Addr().String()}
+	srv, _ := newServer(t, config(topo.NonIdempotent, false, 1), nil, []*upstream{u, u}, 5)
+	status, _, _, err := send(t, srv.URL, "/m/x", "body")
+	if err != nil || status != http.StatusOK || requests.Load() != 2 {
+		t.Errorf("status %d, %v after %d requests, want the response of the second attempt", status, err, requests.Load())
+	}
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -72,6 +72,9 @@
 		Header http.Header
 		Body   []byte
 		ID     string // expected in IDHeader of the response; empty accepts any response
+		// Fresh requests a new connection. A faulty upstream may send its response to an earlier request with the same ID
+		// once more on the connection of that request.
+		Fresh bool
 	}
 
 	conn struct {
@@ -150,7 +153,7 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
-	for {
+	for !r.Fresh {
 		c := p.pop(r.Addr)
 		if c == nil {
 			break
