Continue a stream only with a stream

After an engine had broken off a stream, the success response of the next engine was relayed into it whatever it was: a body of another kind that ends with an empty line became part of the caller's stream, which then looked complete. A response whose content type is not that of an event stream is now a failed attempt.

TestStream, row 'resumed at an engine that sends an error text as success', failed before (the text was in the stream and the stream was complete). Errors, responses that are not HTTP and heads that break off were right already; rows for them and TestResponseEndsEarly, which cuts three kinds of response after every byte, show it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -240,6 +240,9 @@
 			"HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1\nContent-Length: 9\n\ndoneRESET",
 		}, 502, 1, false, 5},
 		{"response that is not HTTP", topo.NonIdempotent, 1, [2]string{"what\n\nRESET", "what\n\nRESET"}, 502, 1, false, 5},
+		{"head that ends early", topo.NonIdempotent, 1, [2]string{
+			"HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1CLOSE", "HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1CLOSE",
+		}, 502, 1, false, 5},
 		{"error of a non-idempotent call", topo.NonIdempotent, 1, [2]string{serverError, serverError}, 500, 1, true, 5},
 		{"error of an idempotent call", topo.Idempotent, 2, [2]string{serverError, serverError}, 500, 2, true, 5},
 		{"no response before the deadline", topo.NonIdempotent, 1, [2]string{"HANG", "HANG"}, 504, 1, false, 5},
@@ -283,6 +286,13 @@
 		{"reset in an event", true, []string{firstPart + "5\nid: 2RESET", secondPart}, event("1") + event("2"), true, "1"},
 		{"resumed at an engine that fails", true, []string{firstPart + "RESET", serverError}, event("1"), false, "1"},
 		{"resumed at an engine that rejects", true, []string{firstPart + "RESET", notExecuted}, event("1"), false, "1"},
+		{"resumed at an engine that sends an error text as success", true, []string{
+			firstPart + "RESET", "HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1\nContent-Length: 8\n\noops\n\n",
+		}, event("1"), false, "1"},
+		{"resumed at an engine that stops in the head", true, []string{
+			firstPart + "RESET", "HTTP/1.1 200 OK\nX-Id: $ID\nContent-Type: text/event-streamCLOSE",
+		}, event("1"), false, "1"},
+		{"resumed at an engine that sends no HTTP", true, []string{firstPart + "RESET", "oops\n\nCLOSE"}, event("1"), false, "1"},
 		{"ended within an event", false, []string{firstPart + "5\nid: 2\n0\n\n"}, event("1"), false, ""},
 		{"ended by its connection", false, []string{unframed + "CLOSE"}, event("1"), true, ""},
 		{"ended by its connection within an event", false, []string{unframed + "id: 2CLOSE"}, event("1"), false, ""},
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -96,6 +97,11 @@
 	}
 	c.s.applyNotice(sent, topo.Instance{ID: g.Engine, Boot: g.Boot}, res)
 	if res.Status == http.StatusOK && c.route.Kind == topo.Stream {
+		if c.headerSent && !isEventStream(res.Header) {
+			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).Msg("response that is no stream cannot continue one")
+			res.Close()
+			return c.handleTruncated()
+		}
 		return c.relayStream(res, g)
 	}
 	body, err := res.ReadAll(MaxResponseBytes)
@@ -115,6 +121,12 @@
 	return c.handleResponse(res, body), outcome
 }
 
+// isEventStream reports whether the body of a response is a stream of events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // failureOutcome returns Canceled for a failure after the call's context ended, and otherwise that of the upstream.
 func (c *call) failureOutcome(ofUpstream sched.Outcome) sched.Outcome {
 	if c.ctx.Err() != nil {
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -159,3 +159,35 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a response whose head breaks off and that looks complete: the connection is closed after each byte of the
+// response in turn.
+func TestResponseEndsEarly(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		shortest   int // bytes after which the response may count as complete
+	}{
+		{"with a length", response("1", "r1"), len(response("1", "r1"))},
+		{
+			"in chunks", "HTTP/1.1 200 OK\nX-Id: 1\nTransfer-Encoding: chunked\n\n2\nr1\n0\n\n",
+			len("HTTP/1.1 200 OK\nX-Id: 1\nTransfer-Encoding: chunked\n\n2\nr1\n0\n\n"),
+		},
+		{"without a length", "HTTP/1.1 200 OK\nX-Id: 1\n\nr1", len("HTTP/1.1 200 OK\nX-Id: 1\n\n")},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for n := range tt.shortest {
+				addr, _ := serve(t, tt.text[:n])
+				p := &h1.Pool{IDHeader: "X-Id"}
+				res, err := p.Do(context.Background(), &h1.Request{
+					Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: "1",
+				})
+				if err != nil {
+					continue
+				}
+				if b, err := res.ReadAll(100); err == nil {
+					t.Errorf("cut after %d bytes: complete response %d with body %q", n, res.Status, b)
+				}
+			}
+		})
+	}
+}
