--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -37,6 +37,9 @@
 			c.handleRejection(decision)
 			return
 		}
+		if decision.Grant.DelayedBy != "" {
+			c.delayedBy = decision.Grant.DelayedBy
+		}
 		c.grant, c.timeToGrant = decision.Grant, time.Since(c.start)
 		next, outcome := c.attemptModel(decision.Grant)
 		c.s.Tickets.Release(decision.Grant, outcome)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -223,32 +223,42 @@
 	}
 }
 
-// pickUpstream picks an upstream and waits until its limit allows the call. If no upstream takes the call soon enough, it
-// returns nil and the time after which one may, or 0 if there is none.
+// pickUpstream picks an upstream and waits until its statements allow the call. If no upstream takes the call soon enough,
+// it returns nil and the time after which one may, or 0 if there is none.
 func (c *call) pickUpstream() (u *topo.Upstream, retryAfter time.Duration) {
 	for {
-		u, wait := c.s.Balancer.Pick(time.Now(), c.service, c.tried, c.maxWait())
-		if u == nil {
-			return nil, wait
+		maxWait := c.maxWait()
+		u, wait := c.s.Balancer.Pick(time.Now(), c.service, c.tried, maxWait)
+		if wait > 0 {
+			c.delayedBy = reasonUpstreamLimits
 		}
-		if wait > 0 && !clock.Sleep(c.ctx, wait) {
-			c.s.Balancer.cancel(u.ID)
+		if u == nil && (wait == 0 || wait > maxWait) {
 			return nil, wait
 		}
-		if c.s.Balancer.admits(time.Now(), u) {
+		waited := wait == 0 || clock.Sleep(c.ctx, wait)
+		if u == nil && waited {
+			continue
+		}
+		if waited && c.s.Balancer.admits(time.Now(), u) {
 			return u, 0
 		}
-		c.s.Balancer.cancel(u.ID)
+		if u != nil {
+			c.s.Balancer.cancel(u.ID)
+		}
+		if !waited {
+			return nil, wait
+		}
 	}
 }
 
-// maxWait returns how long the call may wait for the limit of an upstream.
+// maxWait returns how long the call may wait for an upstream.
 func (c *call) maxWait() time.Duration {
 	left := time.Duration(waitShare * float64(time.Until(c.deadline)))
 	if c.route.TargetLatency <= 0 {
 		return left
 	}
-	return min(left, time.Duration(maxLateness*float64(c.route.TargetLatency)))
+	latest := c.start.Add(time.Duration(maxLateness * float64(c.route.TargetLatency)))
+	return min(left, time.Until(latest))
 }
 
 func (c *call) attemptPlain(u *topo.Upstream) attemptResult {
@@ -266,13 +276,15 @@
 		return c.handleFailure()
 	}
 	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
-	c.s.applyNotice(sent, u.Instance(), res)
+	stated := c.s.applyNotice(sent, u.Instance(), res)
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
 		return c.handleFailure()
 	}
-	c.s.Balancer.Done(time.Now(), u.ID, res.Status >= http.StatusInternalServerError)
+	// An upstream that asks for a pause gets no calls meanwhile, and has not failed.
+	failed := res.Status >= http.StatusInternalServerError && stated.Hold == 0
+	c.s.Balancer.Done(time.Now(), u.ID, failed)
 	return c.handleResponse(res, body)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,11 +58,11 @@
 	return load
 }
 
-// applyNotice records what an upstream states in its response about the calls that it takes. Malformed statements are
-// counted and ignored.
-func (s *Server) applyNotice(sent time.Time, id topo.Instance, res *h1.Response) {
+// applyNotice records and returns what an upstream states in its response about the calls that it takes. Malformed
+// statements are counted and ignored.
+func (s *Server) applyNotice(sent time.Time, id topo.Instance, res *h1.Response) topo.Notice {
 	if s.ParseNotice == nil {
-		return
+		return topo.Notice{}
 	}
 	n, err := s.ParseNotice(res.Status, res.Header)
 	if err != nil {
@@ -70,6 +70,7 @@
 		s.Log.Debug().Err(err).Str("upstream", id.ID).Msg("statement of upstream ignored")
 	}
 	s.Notices.Apply(time.Now(), sent, id, n)
+	return n
 }
 
 // call is the state of one call of a caller.
@@ -93,6 +94,7 @@
 	fallbackBody     []byte
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
+	delayedBy        string // why no upstream took the call at first
 	grant            sched.Grant
 	timeToGrant      time.Duration // from the start to the last grant
 	firstEventSent   bool          // the current attempt has sent its first event
@@ -284,6 +286,9 @@
 		e = e.Dur("granted_ms", c.timeToGrant).Uint64("ticket", c.grant.Ticket).Int("read", c.grant.PrefillTokens).
 			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams)
 	}
+	if c.delayedBy != "" {
+		e = e.Str("delayed_by", c.delayedBy)
+	}
 	if c.headerSent {
 		e = e.Dur("first_ms", c.timeToFirstEvent).Dur("pause_ms", c.maxGap).Dur("pause_at_ms", c.maxGapAt)
 	}
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -117,7 +117,8 @@
 		if st.loading != "" || st.unloading != "" || !known {
 			maxAge = busyReportInterval
 		}
-		due := !st.polling && now.Sub(st.polledAt) >= maxAge
+		held := r.tickets.notices.HoldWait(now, st.up.Instance()) > 0
+		due := !st.polling && now.Sub(st.polledAt) >= maxAge && !held
 		if due {
 			st.polling, st.polledAt = true, now
 		}
@@ -321,6 +322,10 @@
 		r.stats.CountEvent("order_does_not_fit")
 		return topo.OrderRejected
 	}
+	if r.tickets.notices.HoldWait(time.Now(), up.Instance()) > 0 {
+		r.stats.CountEvent("order_held")
+		return topo.OrderRejected
+	}
 	fence, ok := r.elector.Fence()
 	if !ok {
 		return topo.OrderRejected
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -19,7 +19,10 @@
 	// maxDebt bounds how long a limited upstream gets no calls because it has got too many.
 	maxDebt = 4 * time.Second
 	// trialInterval is the time between two calls to an upstream after its hold has ended, until one has been answered.
+	// Further holds in a row delay the first of these calls, by half of trialInterval at first and up to maxTrialDelay,
+	// because each such call is refused in vain.
 	trialInterval = 500 * time.Millisecond
+	maxTrialDelay = 2 * time.Second
 	// retention is how long statements are kept after the last response that confirmed them. It is longer than an entry
 	// of a live upstream may be missing.
 	retention = 10 * time.Minute
@@ -70,6 +73,7 @@
 		leavingAt time.Time
 		holdUntil time.Time
 		trial     bool      // no call has been answered since the hold
+		holds     int       // holds after calls that were sent as trials
 		nextTrial time.Time // earliest time of the next call while trial is set
 		next      time.Time // earliest time of the next call that the limit allows; zero if none was computed
 		updatedAt time.Time
@@ -114,17 +118,28 @@
 		if !e.trial {
 			changes = append(changes, Change{Kind: Hold, Active: true, Hold: n.Hold})
 		}
-		if until := now.Add(n.Hold); until.After(e.holdUntil) {
-			e.holdUntil = until
-		}
-		e.trial, e.nextTrial = true, e.holdUntil
+		e.hold(now, sent, n.Hold)
 	case e.trial && sent.After(e.holdUntil):
-		e.trial = false
+		e.trial, e.holds = false, 0
 		changes = append(changes, Change{Kind: Hold})
 	}
 	t.finish(now, id, e, changes, "")
 }
 
+// hold starts or extends a hold. One that follows a trial delays the next trial.
+func (e *entry) hold(now, sent time.Time, d time.Duration) {
+	if e.trial && sent.After(e.holdUntil) {
+		e.holds++
+	}
+	if until := now.Add(d); until.After(e.holdUntil) {
+		e.holdUntil = until
+	}
+	e.trial, e.nextTrial = true, e.holdUntil
+	if e.holds > 0 {
+		e.nextTrial = e.nextTrial.Add(min(trialInterval<<min(e.holds, 8)/4, maxTrialDelay))
+	}
+}
+
 // setLimit sets the limit, and reports whether it has begun or changed.
 func (e *entry) setLimit(now time.Time, limit float64, changes []Change) []Change {
 	limit = max(limit, minLimit)
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -189,12 +189,12 @@
 // waitForEngine leaves a call queued until the statements of its best engine allow it, or rejects it at once if that is
 // too late.
 func (s *Scheduler) waitForEngine(p *pending, c *candidate, left time.Duration) Decision {
+	p.delayedBy = ReasonHold
+	if c.limited {
+		p.delayedBy = ReasonLimit
+	}
 	if c.ttft > p.maxQueueTime(left) {
-		reason := ReasonHold
-		if c.limited {
-			reason = ReasonLimit
-		}
-		return s.reject(p, reason, c.delay)
+		return s.reject(p, p.delayedBy, c.delay)
 	}
 	if c.limited {
 		c.engine.delayed++
@@ -270,7 +270,7 @@
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
 		PrefillTokens: t.prefillTokens, PrefillTime: e.prefillBacklog(now), Streams: streams,
-		Probe: p.probe,
+		Probe: p.probe, DelayedBy: p.delayedBy,
 	}}
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -98,6 +98,8 @@
 		Streams       int           `cbor:"7,keyasint,omitempty"`
 		// Probe is set if the call tests a quarantine of its prompt.
 		Probe bool `cbor:"8,keyasint,omitempty"`
+		// DelayedBy is the reason if the call waited because of what engines state, or empty.
+		DelayedBy string `cbor:"9,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
@@ -151,6 +153,7 @@
 		prefixKeys []uint64 // one key per prompt segment, see prefixKeys
 		arrived    time.Time
 		deadline   time.Time     // when the caller leaves if it has got no event
+		delayedBy  string        // why statements of engines delayed the call, or empty
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
 		probe      bool          // the call tests a quarantine
