--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -101,7 +101,8 @@
 	c.s.applyNotice(sent, topo.Instance{ID: g.Engine, Boot: g.Boot}, res)
 	if res.Status == http.StatusOK && c.route.Kind == topo.Stream {
 		if c.headerSent && !isEventStream(res.Header) {
-			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).Msg("response that is no stream cannot continue one")
+			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).
+				Msg("response that is no stream cannot continue one")
 			res.Close()
 			return c.handleTruncated()
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -67,9 +67,9 @@
 	}
 )
 
-// Pick returns the upstream with the lowest score that is not in tried, and counts a call in flight there. The call may be
-// sent after the wait, which is at most maxWait; it is reserved at the upstream's limit. If no upstream takes a call that
-// soon, Pick returns nil and the time after which one may, or 0 if there is none.
+// Pick returns the upstream with the lowest score that is not in tried, and counts a call in flight there. The call may
+// be sent after the wait, which is at most maxWait; it is reserved at the upstream's limit. If no upstream takes a call
+// that soon, Pick returns nil and the time after which one may, or 0 if there is none.
 func (b *Balancer) Pick(now time.Time, service string, tried []string, maxWait time.Duration) (
 	best *topo.Upstream, wait time.Duration,
 ) {
@@ -223,8 +223,8 @@
 	}
 }
 
-// pickUpstream picks an upstream and waits until its statements allow the call. If no upstream takes the call soon enough,
-// it returns nil and the time after which one may, or 0 if there is none.
+// pickUpstream picks an upstream and waits until its statements allow the call. If no upstream takes the call soon
+// enough, it returns nil and the time after which one may, or 0 if there is none.
 func (c *call) pickUpstream() (u *topo.Upstream, retryAfter time.Duration) {
 	for {
 		maxWait := c.maxWait()
@@ -346,8 +346,8 @@
 // finishWithoutResponse is finishUnserved for a call that is not known to be served better after some time.
 func (c *call) finishWithoutResponse(reason string) { c.finishUnserved(reason, defaultRetryAfter) }
 
-// finishUnserved ends the call when no further attempt is possible. It relays the fallback response if there is one, and
-// otherwise rejects the call, with the time after which it may be served, only if no upstream can have executed it.
+// finishUnserved ends the call when no further attempt is possible. It relays the fallback response if there is one,
+// and otherwise rejects the call, with the time after which it may be served, only if no upstream can have executed it.
 func (c *call) finishUnserved(reason string, retryAfter time.Duration) {
 	switch {
 	case c.callerLeft():
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -72,8 +72,8 @@
 		Header http.Header
 		Body   []byte
 		ID     string // expected in IDHeader of the response; empty accepts any response
-		// Fresh requests a new connection. A faulty upstream may send its response to an earlier request with the same ID
-		// once more on the connection of that request.
+		// Fresh requests a new connection. A faulty upstream may send its response to an earlier request with the same
+		// ID once more on the connection of that request.
 		Fresh bool
 	}
 
--- a/internal/host/notice_test.go
+++ b/internal/host/notice_test.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// Of limitEngines engines and plainUpstreams upstreams of a plain service, most state a limit after statedAfter. The
-	// rule counts from contactTime later on, over limitWindow.
+	// Of limitEngines engines and plainUpstreams upstreams of a plain service, most state a limit after statedAfter.
+	// The rule counts from contactTime later on, over limitWindow.
 	limitHosts     = 6
 	limitEngines   = 12
 	plainUpstreams = 3
@@ -95,7 +95,8 @@
 	}})
 	h.tickets.scheduler.SetUpstreams(time.Now(), f.engines)
 	h.balancer = &entry.Balancer{
-		Upstreams: func(string) []*topo.Upstream { return f.plain }, Notices: h.notices, LimitShare: h.tickets.hostShare,
+		Upstreams: func(string) []*topo.Upstream { return f.plain }, Notices: h.notices,
+		LimitShare: h.tickets.hostShare,
 	}
 	return h
 }
@@ -133,8 +134,11 @@
 	for ctx.Err() == nil {
 		time.Sleep(600 * time.Millisecond)
 		now := time.Now()
-		source := f.hosts[0]
-		for _, h := range f.hosts[1:] {
+		f.mu.Lock()
+		hosts := slices.Clone(f.hosts)
+		f.mu.Unlock()
+		source := hosts[0]
+		for _, h := range hosts[1:] {
 			source.notices.Merge(now, h.notices.State(now), h.tickets.self)
 			h.notices.Merge(now, source.notices.State(now), source.tickets.self)
 		}
@@ -231,20 +235,23 @@
 	for _, h := range f.hosts {
 		go h.tickets.run(ctx)
 	}
+	var calls sync.WaitGroup
 	for i := 0; time.Since(f.started) < limitRun; i++ {
 		if i%(modelRate/2) == 0 {
 			step(i / (modelRate / 2))
 		}
 		h := f.hosts[rng.IntN(len(f.hosts))]
-		go f.callModel(h, fmt.Sprint("m", i))
+		calls.Go(func() { f.callModel(h, fmt.Sprint("m", i)) })
 		f.calls++
 		if rng.Float64() < float64(plainRate)/modelRate {
 			f.calls++
-			go f.callPlain(f.hosts[rng.IntN(len(f.hosts))])
+			plain := f.hosts[rng.IntN(len(f.hosts))]
+			calls.Go(func() { f.callPlain(plain) })
 		}
 		time.Sleep(time.Second / modelRate)
 	}
 	time.Sleep(3 * time.Second)
+	calls.Wait()
 	cancel()
 	f.lead(-1)
 	time.Sleep(3 * time.Second)
@@ -322,8 +329,11 @@
 		}, 0.05},
 		{"hosts restart in turn", half, func(f *limitFleet, i int) {
 			if n := i / 4; i%4 == 0 && n > 0 && n < limitHosts {
-				f.hosts[n] = f.newHost(n)
-				go f.hosts[n].tickets.run(f.ctx)
+				h := f.newHost(n)
+				f.mu.Lock()
+				f.hosts[n] = h
+				f.mu.Unlock()
+				go h.tickets.run(f.ctx)
 				f.lead(0)
 			}
 		}, 0.05},
@@ -347,8 +357,8 @@
 	}
 }
 
-// Guards against calls to an upstream after it has stated that it is leaving: by the host that got the response, from then
-// on, and by any other host once it has been told, whatever its list of upstreams or a leader says.
+// Guards against calls to an upstream after it has stated that it is leaving: by the host that got the response, from
+// then on, and by any other host once it has been told, whatever its list of upstreams or a leader says.
 func TestStatedDepartures(t *testing.T) {
 	const toldWithin = 1500 * time.Millisecond
 	for _, tt := range []struct {
@@ -380,7 +390,8 @@
 				for pair, list := range f.stated {
 					for _, at := range f.byHost[pair] {
 						if at.After(list[0]) {
-							t.Errorf("%s sent a call to %s %v after its statement", pair.host, pair.upstream, at.Sub(list[0]))
+							t.Errorf("%s sent a call to %s %v after its statement", pair.host, pair.upstream,
+								at.Sub(list[0]))
 						}
 					}
 				}
@@ -398,8 +409,8 @@
 	}
 }
 
-// Guards against calls to an upstream that has asked this host for a pause, against a crowd of calls when the pause ends,
-// and against an upstream that takes down a service by asking again and again.
+// Guards against calls to an upstream that has asked this host for a pause, against a crowd of calls when the pause
+// ends, and against an upstream that takes down a service by asking again and again.
 func TestStatedHolds(t *testing.T) {
 	const hold = 1500 * time.Millisecond
 	for _, tt := range []struct {
@@ -432,8 +443,8 @@
 						n := 0
 						for _, at := range f.byHost[pair] {
 							if at.After(stated) && at.Before(stated.Add(hold)) {
-								t.Errorf("%s sent a call to %s %v after it had asked for a pause", pair.host, pair.upstream,
-									at.Sub(stated))
+								t.Errorf("%s sent a call to %s %v after it had asked for a pause",
+									pair.host, pair.upstream, at.Sub(stated))
 							}
 							if at.After(stated) && at.Before(stated.Add(hold+50*time.Millisecond)) {
 								n++
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -81,8 +81,8 @@
 	}
 )
 
-// Apply records what a response states, to a request sent at the given time. A statement that a response leaves out ends
-// only if the request was sent after the statement, because responses may overtake each other.
+// Apply records what a response states, to a request sent at the given time. A statement that a response leaves out
+// ends only if the request was sent after the statement, because responses may overtake each other.
 func (t *Table) Apply(now, sent time.Time, id topo.Instance, n topo.Notice) {
 	if t == nil {
 		return
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -162,7 +162,8 @@
 	}
 }
 
-// serves reports whether calls for the model may be sent to the engine, as far as the engine and its statements allow it.
+// serves reports whether calls for the model may be sent to the engine, as far as the engine and its statements allow
+// it.
 func (s *Scheduler) serves(now time.Time, e *engine, model string) bool {
 	return e.serves(now, model) && !s.Notices.IsLeaving(e.Instance())
 }
