Send orders without the store only while all other hosts promise to send none

Five of six hosts, the leader among them, lose the store and the sixth host, which becomes leader. The old one asked four random hosts whether the store is away and took the word of most. Class: a right is extended on the word of those who answer, when the one who does not answer is the one that matters.

All other known hosts now have to promise to send no orders, before the lease ends and again and again after it. A host that the old leader may not know waits for the longest extension before it sends its first order. The leader record names all earlier leaders whose orders may not have ended, and the new leader asks each of them to step down: a leader that ended before its first order hid the one before it. Random schedules also found a host that led again after it had stepped down, and one that went on with a lower token, both by an older copy of the store.

In TestStoreOutage the second host now promises before the first is cut off, and the tests of two hosts wait until the hosts know each other.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -60,14 +60,12 @@
 // campaign tries to write the leader key and the leader record.
 func (e *Elector) campaign(ctx context.Context, lease int64) time.Duration {
 	e.mu.Lock()
-	prev := e.lastLeader
-	self := Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: e.nonce}
-	// The previous leader may send orders until its lease ends, at most leaseTime after the key was removed. ordersFrom
-	// is set before the write, because its response may be lost and the watch may report the new leader first.
-	e.ordersFrom = e.vacantSince + leaseTime + e.HandoverDelay
-	if prev.Host == "" || prev.Host == e.Self.Name {
-		e.ordersFrom = 0
-	}
+	last, revision := e.lastLeader.Host, e.recordRevision
+	earlier := e.lastLeader.others(e.Self.Name)
+	self := Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: e.nonce, After: earlier}
+	// ordersFrom is set before the write, because its response may be lost and the watch may report the new leader
+	// first.
+	e.ordersFrom, e.handover = e.takeoverTime(earlier), handover{silent: earlier, unsettled: len(earlier) > 0}
 	e.mu.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -76,8 +74,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	// The condition on the record rejects a write that is executed late, after yet another leader.
 	rev, err := e.Store.Commit(ctx, store.Txn{
-		If:   []store.Condition{{Key: leaderKey}},
+		If:   []store.Condition{{Key: leaderKey}, {Key: leaderRecordKey, Revision: revision}},
 		Puts: []store.Item{{Key: leaderKey, Value: value, Lease: lease}, {Key: leaderRecordKey, Value: value}},
 	})
 	switch {
@@ -90,29 +89,9 @@
 	e.mu.Lock()
 	changed := e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease, Revision: rev})
 	e.mu.Unlock()
-	e.Log.Info().Int64("token", rev).Str("last", prev.Host).Msg("became leader")
+	e.Log.Info().Int64("token", rev).Str("last", last).Msg("became leader")
 	if changed {
 		e.LeadershipChanged(true)
 	}
-	if prev.Host != "" && prev.Host != e.Self.Name {
-		go e.shortenHandover(prev, self.Nonce)
-	}
 	return 0
 }
-
-// shortenHandover asks the previous leader to step down and to return the time since its last order, and shortens the
-// handover delay accordingly.
-func (e *Elector) shortenHandover(prev Leader, nonce string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	sinceLast, err := e.RequestStepDown(ctx, prev)
-	if err != nil {
-		e.Log.Info().Err(err).Str("last", prev.Host).Msg("previous leader does not respond")
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.fence != 0 && e.nonce == nonce {
-		e.ordersFrom = min(e.ordersFrom, e.now()+max(e.HandoverDelay+safetyMargin-sinceLast, 0))
-	}
-}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -49,14 +49,14 @@
 		HandoverDelay time.Duration
 		// Rank returns this host's position among the live hosts, from 0; prev is the host name of the previous leader.
 		Rank func(prev string) int
-		// RequestStepDown asks the previous leader to step down, and returns a lower bound of the time since its last
-		// order.
-		RequestStepDown func(ctx context.Context, prev Leader) (time.Duration, error)
+		// RequestStepDown asks an earlier leader to step down for this one, and returns a lower bound of the time since
+		// its last order.
+		RequestStepDown func(ctx context.Context, earlier Leader, t Term) (time.Duration, error)
 		// LeadershipChanged is called after this host became leader or lost the leadership.
 		LeadershipChanged func(leader bool)
-		// OutageConfirmed reports whether other hosts have just confirmed that they cannot reach the store either, so
-		// that no other host can have become leader; nil means never.
-		OutageConfirmed func() bool
+		// PromisedUntil returns the time since boot before which no other host sends orders, as all of them have
+		// promised this leader, or 0; nil means 0.
+		PromisedUntil func(Term) time.Duration
 		// Hosts returns the number of registered hosts; nil means one.
 		Hosts func() int
 		// StoreReachable is called when a call for the lease has succeeded after a failure; nil does nothing.
@@ -69,22 +69,30 @@
 		wake chan struct{}
 		mu   sync.Mutex
 		// The fields below are guarded by mu.
-		lease        int64
-		leaseEnd     time.Duration // boot time at which the lease expires
-		registered   bool
-		leaving      bool          // Leave was called
-		storeFailing bool          // the last call for the lease failed
-		failures     int           // consecutive failures of calls for the lease
-		retryAt      time.Duration // boot time before which no call for the lease is made
-		nonce        string        // identifies this host's leader records; new for each lease
-		current      *store.Item   // leader key as last seen in the store, or nil if it is missing
-		currentKnown bool          // current was read from the store
-		vacantSince  time.Duration // boot time at which the leader key was first seen missing
-		lastLeader   Leader        // current or previous leader, from the leader record
-		fence        int64         // fencing token while this host is leader, else 0
-		ordersFrom   time.Duration // boot time before which this leader must not send orders
-		lastOrder    time.Duration // boot time of the last call of Fence that allowed an order
-		started      time.Duration // boot time of the call of Run
+		lease           int64
+		leaseEnd        time.Duration // boot time at which the lease expires
+		registered      bool
+		registeredSince time.Duration // boot time at which the registration under this lease was confirmed
+		leaving         bool          // Leave was called
+		storeFailing    bool          // the last call for the lease failed
+		failures        int           // consecutive failures of calls for the lease
+		retryAt         time.Duration // boot time before which no call for the lease is made
+		nonce           string        // identifies this host's leader records; new for each lease
+		current         *store.Item   // leader key as last seen in the store, or nil if it is missing
+		currentKnown    bool          // current was read from the store
+		vacantSince     time.Duration // boot time at which the leader key was first seen missing
+		firstVacancy    time.Duration // the same for the first leader whose orders may not have ended
+		lastLeader      Leader        // current or previous leader, from the leader record
+		recordRevision  int64         // revision of the leader record, 0 if there is none
+		fence           int64         // fencing token while this host is leader, else 0
+		token           int64         // fencing token of the leadership with tokenNonce
+		tokenNonce      string
+		ordersFrom      time.Duration // boot time before which this leader must not send orders
+		handover        handover
+		lastOrder       time.Duration // boot time of the last call of Fence that allowed an order
+		started         time.Duration // boot time of the call of Run
+		promisedTo      string        // nonce of the leader to which this host has made its newest promise
+		promisedAt      time.Duration // boot time of that promise
 	}
 
 	// Leader is the leader record: it names the current or previous leader.
@@ -92,6 +100,15 @@
 		Host  string `json:"host"`
 		Link  string `json:"link"` // address for other hosts
 		Nonce string `json:"nonce"`
+		// After are the earlier leaders on other hosts whose orders may not have ended.
+		After []Leader `json:"after,omitempty"`
+	}
+
+	// Term is one leadership of a host.
+	Term struct {
+		Nonce    string
+		Token    int64
+		LeaseEnd time.Duration // boot time at which the lease expires
 	}
 )
 
@@ -114,11 +131,11 @@
 
 // Fence returns the fencing token for an order that is about to be sent, and false if this host must not send orders.
 func (e *Elector) Fence() (int64, bool) {
-	outage := e.OutageConfirmed != nil && e.OutageConfirmed()
+	promised := e.promisedUntil()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	if !e.maySendOrders(now, outage) {
+	if !e.maySendOrders(now, promised) {
 		return 0, false
 	}
 	e.lastOrder = now
@@ -127,28 +144,54 @@
 
 // OrderDelay returns the time until this host may send orders, and false if its leadership is not valid.
 func (e *Elector) OrderDelay() (time.Duration, bool) {
-	outage := e.OutageConfirmed != nil && e.OutageConfirmed()
+	promised := e.promisedUntil()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	if !e.leadershipValid(now, outage) {
+	if !e.leadershipValid(now, promised) {
 		return 0, false
 	}
 	return max(e.ordersFrom-now, 0), true
 }
 
 // maySendOrders reports whether the leadership of this host is valid and the handover delay has passed.
-func (e *Elector) maySendOrders(now time.Duration, outage bool) bool {
-	return now >= e.ordersFrom && e.leadershipValid(now, outage)
+func (e *Elector) maySendOrders(now, promised time.Duration) bool {
+	return now >= e.ordersFrom && e.leadershipValid(now, promised)
 }
 
-// leadershipValid reports whether this host is the leader and its lease has not expired. During a confirmed outage of
-// the store the lease counts for maxOutage longer. The handover delay is not considered.
-func (e *Elector) leadershipValid(now time.Duration, outage bool) bool {
+// leadershipValid reports whether this host is the leader and its lease has not expired. The lease counts for longer,
+// by maxOutage at most, while all other hosts have promised to send no orders. The handover delay is not considered.
+func (e *Elector) leadershipValid(now, promised time.Duration) bool {
 	if e.fence == 0 || e.leaving {
 		return false
 	}
-	return now < e.leaseEnd-safetyMargin || outage && now < e.leaseEnd+maxOutage
+	return now < e.leaseEnd-safetyMargin || now < promised && now < e.leaseEnd+maxOutage
+}
+
+// promisedUntil returns the time before which no other host sends orders after those of this host.
+func (e *Elector) promisedUntil() time.Duration {
+	if e.PromisedUntil == nil {
+		return 0
+	}
+	t, leads := e.Term()
+	if !leads {
+		return 0
+	}
+	return e.PromisedUntil(t)
+}
+
+// Term returns the leadership of this host, and false if it is not the leader.
+func (e *Elector) Term() (Term, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Term{Nonce: e.nonce, Token: e.fence, LeaseEnd: e.leaseEnd}, e.fence != 0
+}
+
+// RenewalOverdue reports whether the lease should have been renewed by now.
+func (e *Elector) RenewalOverdue() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now() > e.leaseEnd-leaseTime+renewInterval+safetyMargin
 }
 
 // StoreUnreachable reports whether the last grant or renewal of the lease failed.
@@ -175,16 +218,20 @@
 	return decodeLeader(e.current.Value), true
 }
 
-// StepDown ends the leadership of this host in favour of the new leader with the given nonce. It returns the time since
-// the last order, or since the start if that is later, and false if the nonce is its own.
-func (e *Elector) StepDown(nonce string) (time.Duration, bool) {
+// StepDown ends the leadership of this host in favour of a later one. It returns the time since the last order, or
+// since the start if that is later, and false if the leadership of this host is that one or a later one.
+func (e *Elector) StepDown(t Term) (time.Duration, bool) {
 	e.mu.Lock()
-	if nonce == e.nonce {
+	if t.Nonce == e.nonce || t.Token != 0 && e.fence > t.Token {
 		e.mu.Unlock()
 		return 0, false
 	}
 	wasLeader := e.fence != 0
 	e.fence = 0
+	if wasLeader {
+		// An older copy of the store may still show this host as the leader.
+		e.nonce = newNonce()
+	}
 	sinceLast := e.now() - max(e.lastOrder, e.started)
 	e.mu.Unlock()
 	if wasLeader {
@@ -224,7 +271,7 @@
 		case leaderKey:
 			leader = &items[i]
 		case leaderRecordKey:
-			e.lastLeader = decodeLeader(items[i].Value)
+			e.lastLeader, e.recordRevision = decodeLeader(items[i].Value), items[i].Revision
 		case HostPrefix + e.Self.Name:
 			own = &items[i]
 		}
@@ -250,7 +297,7 @@
 			changed = e.applyLeader(it) || changed
 		case leaderRecordKey:
 			if it != nil {
-				e.lastLeader = decodeLeader(it.Value)
+				e.lastLeader, e.recordRevision = decodeLeader(it.Value), it.Revision
 			}
 		case HostPrefix + e.Self.Name:
 			e.applyRegistration(it)
@@ -291,7 +338,9 @@
 // and drops the lease if the registration was removed although the lease seems valid.
 func (e *Elector) applyRegistration(it *store.Item) {
 	if it != nil && e.lease != 0 && it.Lease == e.lease {
-		e.registered = true
+		if !e.registered {
+			e.registered, e.registeredSince = true, e.now()
+		}
 		return
 	}
 	if e.registered && (it == nil || it.Lease != e.lease) {
@@ -307,6 +356,9 @@
 	if it == nil {
 		if e.current != nil || e.vacantSince == 0 {
 			e.vacantSince = e.now()
+			if len(e.lastLeader.After) == 0 || e.firstVacancy == 0 {
+				e.firstVacancy = e.vacantSince
+			}
 		}
 		e.current, e.fence = nil, 0
 		return fence != 0
@@ -317,11 +369,15 @@
 		return fence != 0
 	}
 	if e.fence != 0 {
-		// The watch may report a different revision than the response to the write did, because a store may give each
-		// key of a write its own revision. The revision seen first stays the fencing token.
 		return false
 	}
-	e.fence = it.Revision
+	// The watch may report a different revision than the response to the write did, because a store may give each key
+	// of a write its own revision. The revision seen first stays the fencing token, also if an older copy of the store
+	// has ended the leadership for a moment.
+	if e.tokenNonce != e.nonce {
+		e.tokenNonce, e.token = e.nonce, it.Revision
+	}
+	e.fence = e.token
 	return true
 }
 
@@ -349,7 +405,7 @@
 		}
 		return min(wait, renewInterval)
 	}
-	return until - leaseTime + renewInterval - now
+	return min(e.continueHandover(ctx, now), until-leaseTime+renewInterval-now)
 }
 
 // grantLease obtains a new lease, which ends any leadership under the old one.
@@ -392,7 +448,9 @@
 	defer e.mu.Unlock()
 	switch {
 	case err == nil:
-		e.registered = e.lease == lease
+		if e.lease == lease && !e.registered {
+			e.registered, e.registeredSince = true, e.now()
+		}
 		return 0
 	case gone:
 		e.lease = 0
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,15 +17,19 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-const handoverDelay = 3 * time.Second
+const (
+	handoverDelay = 3 * time.Second
+	// registrationTime is long enough for a leader to know of a host.
+	registrationTime = 12 * time.Second
+)
 
 // host is an elector with its own connection to the store.
 type host struct {
 	*elect.Elector
-	mu              sync.Mutex
-	partitioned     bool
-	suspended       time.Duration // added to its clock, as after a suspend of the machine
-	outageConfirmed bool          // other hosts confirm the outage of the store
+	mu          sync.Mutex
+	partitioned bool
+	suspended   time.Duration // added to its clock, as after a suspend of the machine
+	promised    time.Duration // time since its start until which the other hosts send no orders
 }
 
 // partitionableStore fails all writes and lease calls while its host is partitioned from the store.
@@ -78,16 +83,16 @@
 	h.Elector = &elect.Elector{
 		Self: topo.Host{Name: name}, Store: partitionableStore{s, h}, Log: zerolog.Nop(), HandoverDelay: handoverDelay,
 		Rank:            func(string) int { return rank },
-		RequestStepDown: func(context.Context, elect.Leader) (time.Duration, error) { return stepDown() },
+		RequestStepDown: func(context.Context, elect.Leader, elect.Term) (time.Duration, error) { return stepDown() },
 		Now: func() time.Duration {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			return time.Since(started) + h.suspended
 		},
-		OutageConfirmed: func() bool {
+		PromisedUntil: func(elect.Term) time.Duration {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return h.outageConfirmed
+			return h.promised
 		},
 		LeadershipChanged: func(bool) {},
 	}
@@ -140,7 +145,7 @@
 		a := start(ctx, s, "a", 0, noResponse)
 		time.Sleep(400 * time.Millisecond)
 		b := start(ctx, s, "b", 1, func() (time.Duration, error) { return stepDown(a) })
-		time.Sleep(2 * time.Second)
+		time.Sleep(registrationTime)
 		if !a.maySendOrders() || b.maySendOrders() {
 			t.Fatalf("orders: a %v, b %v", a.maySendOrders(), b.maySendOrders())
 		}
@@ -148,8 +153,8 @@
 	})
 }
 
-// checkHandover fails the test if a may send orders after b, or b less than handoverDelay after a. It returns when b may
-// first send orders, or -1.
+// checkHandover fails the test if a may send orders after b, or b less than handoverDelay after a. It returns when b
+// may first send orders, or -1.
 func checkHandover(t *testing.T, a, b *host, duration time.Duration) (bFirst time.Duration) {
 	t.Helper()
 	var lastA time.Duration
@@ -205,7 +210,7 @@
 // Guards against a long gap without orders when the previous leader still responds.
 func TestStepDown(t *testing.T) {
 	stepDown := func(a *host) (time.Duration, error) {
-		sinceLast, ok := a.StepDown("other")
+		sinceLast, ok := a.StepDown(elect.Term{Nonce: "other"})
 		if !ok {
 			return 0, errors.New("refused to step down")
 		}
@@ -255,29 +260,72 @@
 	})
 }
 
-// Guards against a gap without orders while the store is unreachable for all hosts, and against orders after the outage
-// is no longer confirmed.
+// Guards against a gap without orders while the store is unreachable for all hosts, and against orders after the
+// promises of the other hosts have ended.
 func TestStoreOutage(t *testing.T) {
 	stepDown := func(*host) (time.Duration, error) { return noResponse() }
 	runTwoHosts(t, stepDown, func(t *testing.T, s *stub.Store, a, b *host) {
 		s.Do(func() { s.Fault = func(string) error { return store.ErrNotExecuted } })
 		a.mu.Lock()
-		a.outageConfirmed = true
+		a.promised = time.Hour
 		a.mu.Unlock()
 		time.Sleep(6 * time.Second)
 		if !a.maySendOrders() || b.maySendOrders() {
 			t.Errorf("store unreachable for all hosts: orders of a %v, of b %v", a.maySendOrders(), b.maySendOrders())
 		}
 		a.mu.Lock()
-		a.outageConfirmed = false
+		a.promised = 0
 		a.mu.Unlock()
+		term, _ := a.Term()
+		if !b.Promise(term.Nonce) {
+			t.Error("b makes no promise although it knows of no other leader")
+		}
 		a.setPartitioned(true)
 		s.Do(func() { s.Fault = nil })
 		if a.maySendOrders() {
-			t.Error("a may send orders in an unconfirmed outage")
+			t.Error("a may send orders in an outage without promises")
 		}
 		if got := checkHandover(t, a, b, 10*time.Second); got < 0 {
 			t.Error("b never becomes leader")
 		}
 	})
 }
+
+// Guards against a host that leads again after it has stepped down, or with a lower fencing token, because it gets a
+// copy of the store that is older than its own leadership.
+func TestOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer stopHosts(cancel)
+		s := &stub.Store{}
+		a := start(ctx, s, "a", 0, noResponse)
+		time.Sleep(time.Second)
+		term, leads := a.Term()
+		items, _, err := s.List(ctx, elect.Prefix)
+		if err != nil || !leads {
+			t.Fatalf("a leads: %v, list: %v", leads, err)
+		}
+		a.setPartitioned(true)
+		a.Replace(slices.DeleteFunc(slices.Clone(items), func(it store.Item) bool { return it.Key == "figreel/seat" }))
+		if a.maySendOrders() {
+			t.Error("a may send orders although its leader key is missing")
+		}
+		for i := range items {
+			items[i].Revision-- // as if the response to the write had another revision than the key
+		}
+		a.Replace(items)
+		if token, ok := a.Fence(); !ok || token != term.Token {
+			t.Errorf("fencing token %d, %v after %d", token, ok, term.Token)
+		}
+		if _, ok := a.StepDown(elect.Term{Nonce: "older", Token: term.Token - 1}); ok {
+			t.Error("a has stepped down for an earlier leader")
+		}
+		if _, ok := a.StepDown(elect.Term{Nonce: "later", Token: term.Token + 1}); !ok {
+			t.Error("a has not stepped down for a later leader")
+		}
+		a.Replace(items)
+		if a.maySendOrders() {
+			t.Error("a may send orders after it has stepped down")
+		}
+	})
+}
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -20,6 +20,8 @@
 const (
 	testDrainTime = 2 * time.Second
 	testDialTime  = 400 * time.Millisecond
+
+	testHandoverDelay = 3 * time.Second
 )
 
 type (
@@ -63,6 +65,9 @@
 			self: self, cache: h.cache, elector: h.cache.elector, tickets: testTickets(), stats: h.cache.stats,
 			log: h.cache.log, now: h.cache.now, dial: h.dial,
 		}
+		h.cache.elector.HandoverDelay = testHandoverDelay
+		h.relay.promises.HandoverDelay = testHandoverDelay
+		h.cache.elector.PromisedUntil = h.relay.promises.Until
 		h.relay.sources = sourceSet{Self: h.name, Limits: h.cache.limits}
 		f.hosts = append(f.hosts, h)
 	}
@@ -121,7 +126,12 @@
 
 func (h *fleetHost) serve(c *link.Conn) {
 	defer c.Close()
-	if m, err := c.Receive(); err == nil {
+	m, err := c.Receive()
+	switch {
+	case err != nil:
+	case m.Kind == link.RequestPromise:
+		_ = c.Send(h.relay.promise(m))
+	default:
 		h.relay.serve(c, m)
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,7 +114,8 @@
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
 	h.elector.StoreLost = h.cache.wakeWaiting
-	h.elector.OutageConfirmed = h.relay.outageConfirmed
+	h.relay.promises.HandoverDelay = s.HandoverDelay
+	h.elector.PromisedUntil = h.relay.promises.Until
 	h.reconciler = &reconciler{
 		self: s.Name, elector: h.elector, cache: h.cache, tickets: h.tickets, engines: h.Platform.Engines,
 		stats: h.Stats, log: h.Log,
@@ -226,19 +227,20 @@
 	return n
 }
 
-func (h *Host) requestStepDown(ctx context.Context, previous elect.Leader) (time.Duration, error) {
-	c, err := link.Dial(ctx, previous.Link)
+func (h *Host) requestStepDown(ctx context.Context, earlier elect.Leader, t elect.Term) (time.Duration, error) {
+	c, err := link.Dial(ctx, earlier.Link)
 	if err != nil {
 		return 0, err
 	}
 	defer c.Close()
-	leader, _ := h.elector.Leader()
-	m, err := c.RoundTrip(ctx, &link.Message{Kind: link.StepDown, Host: h.Settings.Name, Nonce: leader.Nonce})
+	m, err := c.RoundTrip(ctx, &link.Message{
+		Kind: link.StepDown, Host: h.Settings.Name, Nonce: t.Nonce, Token: t.Token,
+	})
 	if err != nil {
 		return 0, err
 	}
 	if m.Kind != link.SteppedDown {
-		return 0, errors.New("the previous leader did not step down")
+		return 0, errors.New("the earlier leader did not step down")
 	}
 	return time.Duration(m.LastOrderAgeMS) * time.Millisecond, nil
 }
@@ -256,9 +258,11 @@
 		h.tickets.serveFollower(c, m)
 		return
 	case link.StepDown:
-		if lastOrderAge, ok := h.elector.StepDown(m.Nonce); ok {
+		if lastOrderAge, ok := h.elector.StepDown(elect.Term{Nonce: m.Nonce, Token: m.Token}); ok {
 			response = &link.Message{Kind: link.SteppedDown, LastOrderAgeMS: lastOrderAge.Milliseconds()}
 		}
+	case link.RequestPromise:
+		response = h.relay.promise(m)
 	case link.GetChanges:
 		h.relay.serve(c, m)
 		return
--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -9,8 +9,8 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// noticeChanged logs and counts a statement of an upstream that has begun or ended, and tells the leader of one that this
-// host has got itself.
+// noticeChanged logs and counts a statement of an upstream that has begun or ended, and tells the leader of one that
+// this host has got itself.
 func (h *Host) noticeChanged(c notice.Change) {
 	if c.Via == "" {
 		h.tickets.tellLeader(c.Instance)
--- a/internal/host/outage_test.go
+++ b/internal/host/outage_test.go
@@ -21,7 +21,7 @@
 	e.Self, e.Now, e.Hosts = self, sc.now, sc.hostCount
 	e.StoreReachable, e.StoreLost = sc.retryStore, sc.wakeWaiting
 	e.Rank = func(previous string) int { return rankOf(sc.Hosts(), self.Name, previous) }
-	e.RequestStepDown = func(context.Context, elect.Leader) (time.Duration, error) {
+	e.RequestStepDown = func(context.Context, elect.Leader, elect.Term) (time.Duration, error) {
 		return 0, store.ErrOutcomeUnknown
 	}
 	return sc
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,11 +23,6 @@
 	sourceRetryDelay = 250 * time.Millisecond
 	// sourceGrace is how long a source may be out of date before another host is followed instead.
 	sourceGrace = 400 * time.Millisecond
-	// probedHosts is how many hosts are asked whether the store is unreachable for them too. More than half of them and
-	// at least minConfirmations (or all, if there are fewer hosts) must confirm it; the result is valid for outageTTL.
-	probedHosts      = 4
-	minConfirmations = 2
-	outageTTL        = time.Second
 	// minLostReports is the number of consecutive responses of hosts that cannot reach the store that show an outage
 	// for all hosts rather than one for some.
 	minLostReports = 3
@@ -59,11 +53,13 @@
 	// dial connects to another host.
 	dial func(ctx context.Context, addr string) (*link.Conn, error)
 
-	mu                sync.Mutex
-	sources           sourceSet
-	hostChanges       int           // changes of the registered hosts that sources has
-	lostReports       int           // consecutive responses of hosts that cannot reach the store
-	outageConfirmedAt time.Duration // boot time of the last probe that confirmed an outage, 0 before
+	// promises are those of the other hosts to send no orders while this host is the leader.
+	promises elect.Promises
+
+	mu          sync.Mutex
+	sources     sourceSet
+	hostChanges int // changes of the registered hosts that sources has
+	lostReports int // consecutive responses of hosts that cannot reach the store
 }
 
 // storeUnreachable reports whether this host's last store call for any prefix or for its lease failed.
@@ -71,53 +67,6 @@
 	return r.cache.unreachable() || r.elector.StoreUnreachable()
 }
 
-// outageConfirmed reports whether other hosts have just confirmed that the store is unreachable for them too. It uses
-// boot time because another host may have become leader while this machine was suspended.
-func (r *watchRelay) outageConfirmed() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.outageConfirmedAt > 0 && r.now()-r.outageConfirmedAt < outageTTL
-}
-
-// probeOutage asks some random hosts whether they reach the store, and records the time if they confirm the outage.
-func (r *watchRelay) probeOutage(ctx context.Context) {
-	hosts := r.otherHosts()
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	hosts = hosts[:min(len(hosts), probedHosts)]
-	if len(hosts) == 0 {
-		return
-	}
-	start := r.now()
-	responses := make(chan error, len(hosts))
-	for _, o := range hosts {
-		go func() { responses <- r.fetchOnce(ctx, o.Link) }()
-	}
-	results := make([]error, 0, len(hosts))
-	for range hosts {
-		results = append(results, <-responses)
-	}
-	if confirmsOutage(results) {
-		r.mu.Lock()
-		r.outageConfirmedAt = start
-		r.mu.Unlock()
-	}
-}
-
-// confirmsOutage reports whether most of the probed hosts answered that they cannot reach the store, and none that it
-// can: a host that reaches the store could have become leader.
-func confirmsOutage(results []error) bool {
-	unreachable := 0
-	for _, err := range results {
-		switch {
-		case err == nil:
-			return false
-		case errors.Is(err, errSourceLostStore):
-			unreachable++
-		}
-	}
-	return 2*unreachable > len(results) && unreachable >= min(minConfirmations, len(results))
-}
-
 // setSeeds replaces the addresses of hosts to ask before any host is known.
 func (r *watchRelay) setSeeds(seeds []string) {
 	r.mu.Lock()
@@ -146,10 +95,11 @@
 }
 
 // run follows the current watch sources until ctx ends. While this host cannot reach the store, it also asks other
-// hosts for changes, and as the leader whether they can reach the store.
+// hosts for changes, and as the leader for promises to send no orders.
 func (r *watchRelay) run(ctx context.Context) {
 	following := make(map[string]context.CancelFunc)
 	lastFetch := time.Time{}
+	var promises promiseRound
 	fetches := 0
 	for clock.Sleep(ctx, roleInterval) {
 		r.cache.expireGrace(time.Now())
@@ -179,18 +129,15 @@
 				delete(following, addr)
 			}
 		}
+		if r.elector.IsLeader() {
+			r.updatePromises(ctx, &promises)
+		}
 		if !starting && (!r.storeUnreachable() || time.Since(lastFetch) < outageFetchInterval) {
 			continue
 		}
 		lastFetch = time.Now()
 		fetches++
 		go r.fetchFromAny(ctx, fetches)
-		if starting {
-			continue
-		}
-		if r.elector.IsLeader() {
-			go r.probeOutage(ctx)
-		}
 	}
 }
 
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -402,7 +402,7 @@
 	context.AfterFunc(ctx, c.Close)
 	go func() {
 		for clock.Sleep(ctx, redialDelay) {
-			if now, ok := s.elector.Leader(); !ok || now != leader {
+			if now, ok := s.elector.Leader(); !ok || now.Nonce != leader.Nonce {
 				cancel()
 			}
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -44,6 +44,13 @@
 	Changes
 	// Notices tells the leader what an upstream has just stated about the calls that it takes.
 	Notices
+	// RequestPromise asks a host to send no orders to engines for a while, because the leader with this nonce cannot
+	// renew its lease; the response is Promised or Refused.
+	RequestPromise
+	// Promised grants what RequestPromise asks for.
+	Promised
+	// Refused is the response of a host that has seen the lease of that leader end.
+	Refused
 )
 
 type (
@@ -77,6 +84,8 @@
 		Poison *poison.State `cbor:"17,keyasint,omitempty"`
 		// Notices is what the sender of GetChanges, Changes or Notices knows of the statements of upstreams, or nil.
 		Notices *notice.State `cbor:"18,keyasint,omitempty"`
+		// Token is the fencing token of the sender of StepDown.
+		Token int64 `cbor:"19,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
