Honour Retry-After of upstreams in figreel serve

A host of figreel serve sent its next calls, and the retries of a call, to an engine or a service that had just answered 503 with Retry-After. It now sends nothing there until then, tells the dispatcher which engines take no calls, and lets one call try the upstream before others follow; a call with nowhere left to go waits if half of its time allows it, and is otherwise rejected at once with that time. The state is that of internal/notice, as on the operators' platform, and the value is parsed in one place (internal/xhttp). The emulators can ask for a pause ("retry_after").

--- a/internal/emul/fault/injector.go
+++ b/internal/emul/fault/injector.go
@@ -25,6 +25,8 @@
 		DelayMS int `json:"delay_ms,omitempty"`
 		// DropRequest closes the connection after reading the request, without executing it.
 		DropRequest bool `json:"drop_request,omitempty"`
+		// RetryAfter rejects the request with status 503 and this Retry-After header, without executing it.
+		RetryAfter string `json:"retry_after,omitempty"`
 		// DropResponse executes the request and closes the connection without sending any byte of the response.
 		DropResponse bool `json:"drop_answer,omitempty"`
 		// Freeze blocks requests, and writes of responses in progress, until another spec is set. With a Count it
@@ -131,6 +133,11 @@
 	if spec.DropRequest {
 		panic(http.ErrAbortHandler)
 	}
+	if spec.RetryAfter != "" {
+		w.Header().Set("Retry-After", spec.RetryAfter)
+		WriteJSON(w, http.StatusServiceUnavailable, map[string]any{"code": "paused", "not_run": true})
+		return
+	}
 	if !spec.DropResponse && spec.Response == nil {
 		next(&faultWriter{ResponseWriter: w, r: r, injector: in, writesLeft: spec.CutAfterWrites}, r)
 		return
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -133,10 +133,12 @@
 	}
 
 	// SendError is the failure of an attempt to start. NotExecuted is true only if the engine certainly has not
-	// executed the attempt and will not; Leaving is true if the engine reported that it is leaving.
+	// executed the attempt and will not; Leaving is true if the engine reported that it is leaving. Hold is the time
+	// for which the engine wants no calls from this host, or 0.
 	SendError struct {
 		NotExecuted bool
 		Leaving     bool
+		Hold        time.Duration
 		Status      int
 		Reason      string
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -143,6 +143,11 @@
 // rejection returns the error of a response whose status is not 200.
 func rejection(resp *http.Response) *SendError {
 	e := &SendError{Status: resp.StatusCode}
+	var holdErr error
+	if after := resp.Header.Get("Retry-After"); after != "" && resp.StatusCode == http.StatusServiceUnavailable {
+		// A malformed time is the same as none, and one that is too long is cut.
+		e.Hold, holdErr = xhttp.ParseRetryAfter(after, time.Now())
+	}
 	var body errorBody
 	if err := xhttp.DecodeJSON(resp, maxErrorBytes, &body); err != nil {
 		e.Reason = err.Error()
@@ -152,5 +157,8 @@
 	// An error body with a status below 400 is contradictory, so its claim that nothing was executed is ignored.
 	e.NotExecuted = body.NotExecuted && resp.StatusCode >= http.StatusBadRequest
 	e.Reason = body.Code + ": " + body.Message
+	if holdErr != nil {
+		e.Reason += "; " + holdErr.Error()
+	}
 	return e
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -104,12 +104,21 @@
 		notExecuted bool
 		leaving     bool
 		requests    int
+		hold        time.Duration
 	}{
 		{name: "no listener", url: "http://e2:80", notExecuted: true},
 		{name: "request read, connection dropped", spec: fault.Spec{DropRequest: true}, requests: 1},
 		{name: "response lost", spec: fault.Spec{DropResponse: true}, requests: 1},
 		{name: "no response in time", spec: fault.Spec{Freeze: true}, requests: 1},
 		{name: "model not resident", model: "other@1", notExecuted: true, requests: 1},
+		{
+			name: "asks for a pause", spec: fault.Spec{RetryAfter: "1.5"}, notExecuted: true, requests: 1,
+			hold: 1500 * time.Millisecond,
+		},
+		{
+			name: "asks for a pause that is no time", spec: fault.Spec{RetryAfter: "later"}, notExecuted: true,
+			requests: 1,
+		},
 		{name: "leaving", leave: true, notExecuted: true, leaving: true, requests: 1},
 	}
 	for _, tc := range cases {
@@ -129,7 +138,8 @@
 			}
 			_, err := c.Generate(t.Context(), url, in)
 			var se *engine.SendError
-			if !errors.As(err, &se) || se.NotExecuted != tc.notExecuted || se.Leaving != tc.leaving {
+			if !errors.As(err, &se) || se.NotExecuted != tc.notExecuted || se.Leaving != tc.leaving ||
+				se.Hold != tc.hold {
 				t.Errorf("%s: got %+v", tc.name, err)
 			}
 			if got := e.Fault.Requests("/v1/generate"); got != tc.requests {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,8 +12,11 @@
 
 	"github.com/figreel/figreel/internal/apigw"
 	"github.com/figreel/figreel/internal/budget"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/plain"
 	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/xhttp"
 	"github.com/figreel/figreel/pkg/answer"
 	"github.com/figreel/figreel/pkg/envdoc"
 )
@@ -42,6 +45,8 @@
 		FailureDomain string
 		// IsLeaving reports whether an upstream is leaving.
 		IsLeaving func(upstream string) bool
+		// Notices holds which upstreams have asked for a pause; nil holds nothing.
+		Notices *notice.Table
 
 		picker picker
 	}
@@ -66,9 +71,7 @@
 	defer cancel()
 	state := &requestState{triedUpstreams: make(map[string]bool)}
 	for n := 1; ; n++ {
-		up, ok := p.picker.pick(time.Now(), req.Service.Upstreams, p.FailureDomain, func(name string) bool {
-			return state.triedUpstreams[name] || p.IsLeaving(name)
-		})
+		up, ok := p.pick(req, state)
 		if !ok {
 			return p.toAPIError(req, state)
 		}
@@ -76,6 +79,7 @@
 		resp, err := p.send(ctx, up, req)
 		if err == nil {
 			p.Stats.ObserveUpstream(up.Name, time.Since(sentAt))
+			p.applyNotice(sentAt, up.Name, resp)
 			return p.writeResponse(w, up, req, resp)
 		}
 		r := failed
@@ -90,6 +94,52 @@
 	}
 }
 
+// pick chooses an upstream that was not tried, is not leaving and has not asked for a pause.
+func (p *Proxy) pick(req apigw.ServiceRequest, state *requestState) (envdoc.Upstream, bool) {
+	for {
+		now := time.Now()
+		up, ok := p.picker.pick(now, req.Service.Upstreams, p.FailureDomain, func(name string) bool {
+			return state.triedUpstreams[name] || p.IsLeaving(name) || p.Notices.HoldWait(now, instanceOf(name)) > 0
+		})
+		// After a pause only one call at a time is admitted until one has been answered.
+		if !ok || p.Notices.Admit(now, instanceOf(up.Name)) {
+			return up, ok
+		}
+		p.picker.done(now, up.Name, unknown)
+	}
+}
+
+// applyNotice records the pause that an upstream asks for with status 503, or that it has answered after one.
+func (p *Proxy) applyNotice(sentAt time.Time, upstream string, resp *plain.Response) {
+	n := topo.Notice{Partial: true}
+	if after := resp.Header.Get("Retry-After"); after != "" && resp.Status == statusUnavailable {
+		var err error
+		if n.Hold, err = xhttp.ParseRetryAfter(after, time.Now()); err != nil {
+			p.Stats.CountEvent("retry_after_malformed")
+		}
+	}
+	if n.Hold > 0 {
+		p.Stats.CountEvent("upstream_held")
+	}
+	p.Notices.Apply(time.Now(), sentAt, instanceOf(upstream), n)
+}
+
+// holdWait returns the shortest time until an upstream of the service may be called again, or 0 if none has asked for a
+// pause.
+func (p *Proxy) holdWait(s envdoc.Service) time.Duration {
+	var shortest time.Duration
+	for _, up := range s.Upstreams {
+		wait := p.Notices.HoldWait(time.Now(), instanceOf(up.Name))
+		if wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// instanceOf identifies an upstream in the table of notices; the document has no instances.
+func instanceOf(upstream string) topo.Instance { return topo.Instance{ID: upstream} }
+
 func (p *Proxy) send(ctx context.Context, up envdoc.Upstream, req apigw.ServiceRequest) (*plain.Response, error) {
 	// After a pause of the process, the timer that cancels ctx fires slightly late, so the clock is checked as well.
 	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
@@ -143,6 +193,7 @@
 	}
 	if s.lastErr == nil {
 		e.Status, e.Code = statusUnavailable, codeNoUpstream
+		e.RetryAfter = max(p.holdWait(req.Service), retryAfter)
 		e.Message = "service " + req.Service.Name + " has no available upstream"
 		return e
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -33,7 +33,7 @@
 // runAttempt requests a ticket and runs one attempt. If the first token is late, a hedged attempt on another engine
 // runs beside it.
 func (c *callState) runAttempt(ctx context.Context) error {
-	t, err := c.relay.Tickets.RequestTicket(ctx, c.ticketRequest(false))
+	t, err := c.requestTicket(ctx)
 	if err != nil {
 		return err
 	}
@@ -66,7 +66,7 @@
 
 func (c *callState) ticketRequest(hedge bool) wire.TicketRequest {
 	req := c.req.TicketRequest
-	req.Tried = slices.Clone(c.triedEngines)
+	req.Tried = append(slices.Clone(c.triedEngines), c.relay.heldEngines()...)
 	req.Hedge = hedge
 	req.TokensDone = len(c.tokens)
 	if hedge {
@@ -94,7 +94,11 @@
 			hedgeRequested = c.requestHedgeTicket(hedgeCtx, first, hedgeTickets)
 		case hedge := <-hedgeTickets:
 			hedgeRequested = false
-			if hedge != nil {
+			switch {
+			case hedge == nil:
+			case !c.relay.admits(hedge.Grant()):
+				hedge.Close()
+			default:
 				pending[c.launchAttempt(ctx, hedge, out)] = true
 			}
 		case ev := <-out:
@@ -182,6 +186,9 @@
 	name := failed.attempt.ticket.Grant().Engine
 	c.triedEngines = append(c.triedEngines, name)
 	leaving := se != nil && se.Leaving
+	if se != nil {
+		c.relay.applyHold(failed.attempt, se.Hold)
+	}
 	failed.attempt.close(wire.Progress{Failed: c.engineFailed(failed.err), Leaving: leaving, Tokens: len(c.tokens)})
 	return failed.err
 }
@@ -204,6 +211,7 @@
 func (c *callState) consumeStream(first firstEvent) error {
 	a := first.attempt
 	c.maybeExecuted = true
+	c.relay.applyHold(a, 0)
 	c.modelItem, c.adapterItem = a.ticket.Grant().ModelItem, a.ticket.Grant().AdapterItem
 	if c.result.TimeToFirstToken == 0 {
 		c.result.TimeToFirstToken = time.Since(c.startedAt)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/figreel/figreel/internal/budget"
 	"github.com/figreel/figreel/internal/engine"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/ticket"
 	"github.com/figreel/figreel/internal/wire"
@@ -36,6 +37,8 @@
 		RetryBudget *budget.Budget
 		HedgeBudget *budget.Budget
 		Stats       *stats.Set
+		// Notices holds which engines have asked for a pause; nil holds nothing.
+		Notices *notice.Table
 		// StallTimeout is the longest time without an event on a stream; 0 means 10 s.
 		StallTimeout time.Duration
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,6 +57,7 @@
 		failedReports int
 		migrateAfter  time.Duration // when the first call is migrated; 0 means never
 		newVersions   bool          // each grant names a new model version
+		engine        string        // engine that is granted; empty means another one for each request
 	}
 
 	fakeTicket struct {
@@ -142,6 +143,9 @@
 	g := wire.TicketResponse{
 		Ticket: fmt.Sprint(len(d.requests)), Engine: fmt.Sprint("e", len(d.requests)), HedgeAfterMS: d.hedgeMS,
 	}
+	if d.engine != "" {
+		g.Engine = d.engine
+	}
 	g.ModelItem = "m@1"
 	if d.newVersions {
 		g.ModelItem = fmt.Sprint("m@", len(d.requests))
--- a/internal/serve/build.go
+++ b/internal/serve/build.go
@@ -18,6 +18,7 @@
 	"github.com/figreel/figreel/internal/idem"
 	"github.com/figreel/figreel/internal/kvapi"
 	"github.com/figreel/figreel/internal/member"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/plain"
 	"github.com/figreel/figreel/internal/pmgr"
 	"github.com/figreel/figreel/internal/proxy"
@@ -138,6 +139,7 @@
 	hedges := &budget.Budget{Share: hedgeShare, Max: budgetMax, Initial: initialHedges}
 	h.relay = &relay.Relay{
 		Tickets: h.router, Engines: h.engines, RetryBudget: retries, HedgeBudget: hedges, Stats: h.stats,
+		Notices: &notice.Table{Changed: h.noticeChanged},
 	}
 	h.idempotency = &idem.Records{
 		KV: h.kv, Stats: h.stats, Environment: h.Config.Environment, Host: h.Config.Name, Retention: h.retention,
@@ -150,11 +152,23 @@
 		MaxBodyBytes: h.Config.Limits.MaxBodyBytes, MaxInFlight: int64(h.Config.Limits.MaxCalls),
 		Forwarder: &proxy.Proxy{
 			Client: &plain.Client{}, RetryBudget: retries, Stats: h.stats, FailureDomain: h.Config.FailureDomain,
-			IsLeaving: h.upstreamLeaving,
+			IsLeaving: h.upstreamLeaving, Notices: &notice.Table{Changed: h.noticeChanged},
 		},
 	}
 }
 
+// noticeChanged logs a pause that an upstream has asked for, when it begins and when the upstream has answered again.
+func (h *Host) noticeChanged(c notice.Change) {
+	if c.Frequent {
+		return
+	}
+	msg := "upstream has asked for a pause"
+	if !c.Active {
+		msg = "upstream answers again after a pause"
+	}
+	h.Log.Info().Str("upstream", c.Instance.ID).Dur("hold_ms", c.Hold).Msg(msg)
+}
+
 // retention returns how long idempotency records are kept: the time in the document, or initialRetention without one.
 func (h *Host) retention() time.Duration {
 	if doc := h.doc(); doc != nil {
