--- /dev/null
+++ b/cmd/load/main.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/figreel/figreel/internal/emul/site"
+)
+
+// exitNotFollowed is the exit code if calls did not follow what upstreams stated.
+const exitNotFollowed = 3
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "load",
+		Usage: "send calls to hosts with emulated upstreams that state limits, departures and pauses",
+		Description: "Of each service, the last upstream states a limit, the first that it is leaving, and the " +
+			"second asks for pauses.\nExits with 3 if calls did not follow that.",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Value: 4, Usage: "number of hosts"},
+			&cli.IntFlag{Name: "engines", Value: 6, Usage: "number of model engines"},
+			&cli.IntFlag{Name: "plain", Value: 4, Usage: "number of upstreams of a plain service"},
+			&cli.FloatFlag{Name: "rate", Value: 90, Usage: "calls per second, a third of them to the plain service"},
+			&cli.DurationFlag{Name: "for", Value: 12 * time.Second, Usage: "duration of the load"},
+			&cli.FloatFlag{Name: "limit", Value: 2, Usage: "limit in calls per second"},
+			&cli.DurationFlag{Name: "hold", Value: 1500 * time.Millisecond, Usage: "time of each pause"},
+			&cli.DurationFlag{Name: "restart-every", Usage: "time between two restarts of hosts; 0 means none"},
+			&cli.DurationFlag{Name: "store-away", Usage: "length of an outage of the store; 0 means none"},
+			&cli.DurationFlag{Name: "work", Value: 80 * time.Millisecond, Usage: "time of each call at an upstream"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the times and hosts of calls"},
+			&cli.BoolFlag{Name: "log", Usage: "print the logs of all hosts"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "load:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	rate, d := cmd.Float("rate"), cmd.Duration("for")
+	s := &site.Site{
+		Hosts: cmd.Int("hosts"), Engines: cmd.Int("engines"), Plain: cmd.Int("plain"), ModelRate: rate * 2 / 3,
+		PlainRate: rate / 3, WorkTime: cmd.Duration("work"), Duration: d, Seed: cmd.Uint64("seed"),
+		Log: site.Logger(cmd.Bool("log")),
+	}
+	if s.Hosts < 1 || s.Engines < 3 || s.Plain < 3 || !(rate > 0) || d <= 0 {
+		return errors.New("hosts, rate and for must be positive, engines and plain at least 3")
+	}
+	for service, n := range map[string]int{"engine-": s.Engines, "plain-": s.Plain} {
+		s.Statements = append(s.Statements,
+			site.Statement{Upstream: fmt.Sprint(service, n-1), From: d / 6, Until: d, Limit: cmd.Float("limit")},
+			site.Statement{Upstream: service + "0", From: d / 3, Until: 2 * d, Leaving: true},
+			site.Statement{Upstream: service + "1", From: d / 6, Until: 2 * d / 3, Hold: cmd.Duration("hold")},
+		)
+	}
+	if every := cmd.Duration("restart-every"); every > 0 {
+		for at := every; at < d; at += every {
+			s.RestartAt = append(s.RestartAt, at)
+		}
+	}
+	s.StoreAwayFrom = d / 2
+	s.StoreAwayUntil = d/2 + cmd.Duration("store-away")
+	r, err := s.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.Write(os.Stdout); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	if len(r.Violations()) > 0 {
+		os.Exit(exitNotFollowed)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emul/site/site.go
@@ -0,0 +1,212 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/store/stub"
+	"github.com/figreel/figreel/internal/topo"
+)
+
+const (
+	configPrefix   = "conf/"
+	upstreamPrefix = "up/"
+	modelService   = "models"
+	plainService   = "plain"
+	// startTime is the time that hosts get to register and to choose a leader before the first call.
+	startTime = 2 * time.Second
+	// stopTime is the time that hosts get to end their calls after the last one.
+	stopTime = 3 * time.Second
+)
+
+type (
+	// Site is a deployment; its fields are set before Run.
+	Site struct {
+		Hosts     int
+		Engines   int
+		Plain     int           // upstreams of a plain service
+		ModelRate float64       // calls to engines per second
+		PlainRate float64       // calls to the plain service per second
+		WorkTime  time.Duration // of each call at an upstream
+		Duration  time.Duration // of the load
+		Seed      uint64
+		// Statements are what upstreams state, and when.
+		Statements []Statement
+		// RestartAt are the times at which one host after the other is restarted.
+		RestartAt []time.Duration
+		// StoreAwayFrom and StoreAwayUntil bound an outage of the store; there is none if they are equal.
+		StoreAwayFrom, StoreAwayUntil time.Duration
+		Log                           zerolog.Logger
+
+		store   *stub.Store
+		started time.Time
+		report  Report
+		mu      sync.Mutex
+		hosts   []*siteHost // guarded by mu
+	}
+
+	// Statement is what an upstream states from one time after the start of the load until another.
+	Statement struct {
+		Upstream    string
+		From, Until time.Duration
+		Limit       float64 // calls per second; 0 states none
+		Leaving     bool
+		Hold        time.Duration // rejects calls with status 503 and this time; 0 serves them
+	}
+
+	// registration is an upstream's entry in the store.
+	registration struct {
+		Service string `json:"service"`
+		Addr    string `json:"addr"`
+	}
+)
+
+// Run starts the deployment, sends calls for Duration and returns what has happened.
+func (s *Site) Run(ctx context.Context) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.store = &stub.Store{}
+	s.store.Set(configPrefix+"main", "1")
+	s.report = Report{statements: s.Statements, seen: make(map[pair]*counts)}
+	for i := range s.Engines + s.Plain {
+		name, service := fmt.Sprint("engine-", i), modelService
+		if i >= s.Engines {
+			name, service = fmt.Sprint("plain-", i-s.Engines), plainService
+		}
+		if err := s.startUpstream(ctx, name, service); err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Hosts {
+		h, err := newHost(s, i)
+		if err != nil {
+			return nil, err
+		}
+		s.hosts = append(s.hosts, h)
+		h.start(ctx)
+	}
+	time.Sleep(startTime)
+	s.mu.Lock()
+	s.started = time.Now()
+	s.mu.Unlock()
+	go s.disrupt(ctx)
+	s.sendCalls(ctx)
+	cancel()
+	for _, h := range s.hosts {
+		h.wait(stopTime)
+	}
+	return &s.report, nil
+}
+
+// disrupt restarts hosts and takes the store away as planned.
+func (s *Site) disrupt(ctx context.Context) {
+	away := s.StoreAwayUntil > s.StoreAwayFrom
+	restarts := s.RestartAt
+	for n := 0; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		now := s.since()
+		if len(restarts) > 0 && now >= restarts[0] {
+			restarts = restarts[1:]
+			s.hosts[n%len(s.hosts)].restart(ctx)
+			n++
+		}
+		switch {
+		case !away:
+		case now >= s.StoreAwayUntil:
+			s.store.Do(func() { s.store.Fault = nil })
+			away = false
+		case now >= s.StoreAwayFrom:
+			s.store.Do(func() { s.store.Fault = func(string) error { return store.ErrNotExecuted } })
+		}
+	}
+}
+
+// since returns the time since the first call, which is negative before.
+func (s *Site) since() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.started.IsZero() {
+		return -1
+	}
+	return time.Since(s.started)
+}
+
+// config is the configuration of the deployment.
+func (s *Site) config() *topo.Config {
+	route := func(service string) topo.Route {
+		return topo.Route{
+			Name: service, Host: hostName, PathPrefix: "/" + service + "/", Kind: topo.Idempotent,
+			Timeout: callTimeout, TargetLatency: callTimeout / 2, MaxAttempts: 2,
+			TrafficSplit: []topo.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	return &topo.Config{
+		Version: 1, Routes: []topo.Route{route(modelService), route(plainService)},
+		Limits: topo.Limits{
+			HeaderBytes: 1 << 16, BodyBytes: 1 << 16, HeaderTimeout: callTimeout, IdleTimeout: time.Minute,
+		},
+		Services: map[string]topo.Service{
+			plainService: {Name: plainService},
+			modelService: {Name: modelService, Engine: &topo.EngineSpec{
+				Slots: engineSlots, KVTokens: kvTokens, MemoryMB: 1,
+				Models: []topo.Model{{Name: modelName, MemoryMB: 1}},
+			}},
+		},
+	}
+}
+
+func decodeUpstream(it store.Item) (*topo.Upstream, error) {
+	var e registration
+	if err := json.Unmarshal(it.Value, &e); err != nil {
+		return nil, errors.Wrap(err, "decode upstream")
+	}
+	u := &topo.Upstream{
+		ID: it.Key[len(upstreamPrefix):], Boot: 1, Service: e.Service, Addr: e.Addr, Slots: engineSlots,
+	}
+	if e.Service == modelService {
+		u.Models = []topo.Resident{{Name: modelName}}
+	}
+	return u, nil
+}
+
+// listen opens a loopback port.
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return l, errors.Wrap(err, "listen on loopback")
+}
+
+// freeAddrs returns loopback addresses that no other socket uses now.
+func freeAddrs(n int) ([]string, error) {
+	addrs := make([]string, 0, n)
+	open := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// Logger returns a logger for a tool: everything from warnings on if verbose is set, and otherwise nothing.
+func Logger(verbose bool) zerolog.Logger {
+	if !verbose {
+		return zerolog.Nop()
+	}
+	return zerolog.New(os.Stderr).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/internal/emul/site/site_test.go
@@ -0,0 +1,41 @@
+package site_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/emul/site"
+)
+
+// Guards against calls that do not follow what upstreams state, with real hosts and sockets: while hosts restart, the
+// leader changes and the store is away.
+func TestStatements(t *testing.T) {
+	const second = time.Second
+	s := &site.Site{
+		Hosts: 3, Engines: 4, Plain: 3, ModelRate: 80, PlainRate: 30, WorkTime: 80 * time.Millisecond, Duration: 8 * second,
+		Seed: 1, RestartAt: []time.Duration{2 * second}, StoreAwayFrom: 4 * second, StoreAwayUntil: 6 * second,
+		Statements: []site.Statement{
+			{Upstream: "engine-3", From: second, Until: 8 * second, Limit: 2},
+			{Upstream: "plain-0", From: second, Until: 8 * second, Limit: 2},
+			{Upstream: "engine-1", From: 3 * second, Until: time.Hour, Leaving: true},
+			{Upstream: "plain-1", From: 3 * second, Until: time.Hour, Leaving: true},
+			{Upstream: "engine-2", From: 2 * second, Until: 5 * second, Hold: 1500 * time.Millisecond},
+			{Upstream: "plain-2", From: 2 * second, Until: 5 * second, Hold: 1500 * time.Millisecond},
+		},
+	}
+	r, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := r.Violations(); len(v) > 0 {
+		t.Errorf("not followed: %+v", v)
+	}
+	out := r.Outcomes()
+	if out["200"] < 150 {
+		t.Errorf("only %d calls were served: %v", out["200"], out)
+	}
+	if t.Failed() {
+		_ = r.Write(os.Stderr)
+	}
+}
