Count hosts that have lost the store among those that share a limit

Cause: the number of hosts that divide a limit was that of the registrations. Those of hosts that lose the store end after the lease, but these hosts go on sending calls; they learn of their own end from other hosts, so they divide by the smaller number as well. The free retries of the retry budget are divided by the same number. Change: hosts whose registration ended less than a minute ago, and the host itself, count as senders for both. Ruled out: counting hosts that have been heard of over links; in a large fleet most hosts hear of few others.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -40,6 +40,9 @@
 	// roleInterval is the interval at which a host checks whether it watches the store itself and which sources it
 	// follows.
 	roleInterval = 100 * time.Millisecond
+	// lapsedTime is how long a host counts as sending calls after its registration has ended. One that has lost the
+	// store still gets calls of callers that know its address.
+	lapsedTime = time.Minute
 	// maxDeletions is how many deletions are kept for other hosts; hosts that miss older ones get all items.
 	maxDeletions = 500
 )
@@ -60,11 +63,12 @@
 	states      map[string]*prefixState
 	upstreams   map[string]*topo.Upstream
 	hosts       map[string]topo.Host
-	hostsChange int           // number of changes of hosts
-	outageAt    time.Duration // boot time at which an outage of the store was last confirmed, 0 if there is none
-	outageEnd   time.Duration // boot time at which the copy was first confirmed after an outage, 0 before
-	nextChange  chan struct{} // closed at the next change
-	retryNow    chan struct{} // closed when calls to the store should be tried again at once
+	lapsed      map[string]time.Duration // hosts that are no longer registered, and the boot time since when
+	hostsChange int                      // number of changes of hosts
+	outageAt    time.Duration            // boot time at which an outage of the store was last confirmed, 0 if there is none
+	outageEnd   time.Duration            // boot time at which the copy was first confirmed after an outage, 0 before
+	nextChange  chan struct{}            // closed at the next change
+	retryNow    chan struct{}            // closed when calls to the store should be tried again at once
 }
 
 // prefixState is the copy of the items below one prefix.
@@ -87,8 +91,9 @@
 ) *storeCache {
 	sc := &storeCache{
 		platform: p, limits: limits, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
-		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host), nextChange: make(chan struct{}),
-		retryNow: make(chan struct{}), now: clock.SinceBoot,
+		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host),
+		lapsed: make(map[string]time.Duration), nextChange: make(chan struct{}), retryNow: make(chan struct{}),
+		now: clock.SinceBoot,
 	}
 	for _, prefix := range sc.prefixes() {
 		sc.states[prefix] = &prefixState{
@@ -179,6 +184,26 @@
 	return len(sc.hosts)
 }
 
+// senderCount returns the number of hosts that may be sending calls: those that are registered, those that were until a
+// while ago, and this one.
+func (sc *storeCache) senderCount() int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.now()
+	for key, since := range sc.lapsed {
+		if now-since > lapsedTime {
+			delete(sc.lapsed, key)
+		}
+	}
+	n := len(sc.hosts) + len(sc.lapsed)
+	own := elect.HostPrefix + sc.elector.Self.Name
+	_, registered := sc.hosts[own]
+	if _, lapsed := sc.lapsed[own]; !registered && !lapsed {
+		n++
+	}
+	return n
+}
+
 // retryStore ends all waits after failed calls to the store.
 func (sc *storeCache) retryStore() {
 	sc.mu.Lock()
@@ -384,6 +409,7 @@
 		}
 		h.Registered = it.Revision
 		sc.hosts[key] = h
+		delete(sc.lapsed, key)
 		sc.hostsChange++
 	}
 }
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -65,6 +65,7 @@
 			self: self, cache: h.cache, elector: h.cache.elector, tickets: testTickets(), stats: h.cache.stats,
 			log: h.cache.log, now: h.cache.now, dial: h.dial,
 		}
+		h.relay.tickets.senders = h.cache.senderCount
 		h.cache.elector.HandoverDelay = testHandoverDelay
 		h.relay.promises.HandoverDelay = testHandoverDelay
 		h.cache.elector.PromisedUntil = h.relay.promises.Until
--- a/internal/host/grace.go
+++ b/internal/host/grace.go
@@ -61,6 +61,7 @@
 	}
 	if _, ok := sc.hosts[key]; ok {
 		delete(sc.hosts, key)
+		sc.lapsed[key] = sc.now()
 		sc.hostsChange++
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -103,7 +103,7 @@
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
 	notices := &notice.Table{Changed: h.noticeChanged}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
-	h.tickets.hosts = h.cache.hostCount
+	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
@@ -130,7 +130,7 @@
 		},
 		RetryBudget: &retryBudget{
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
-			hosts: h.cache.hostCount,
+			hosts: h.cache.senderCount,
 		},
 		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
--- a/internal/host/notice_test.go
+++ b/internal/host/notice_test.go
@@ -86,7 +86,7 @@
 	h := &limitHost{tickets: testTickets()}
 	h.notices = h.tickets.notices
 	h.notices.Changed = func(c notice.Change) { h.tickets.tellLeader(c.Instance) }
-	h.tickets.hosts = func() int { return limitHosts }
+	h.tickets.senders = func() int { return limitHosts }
 	h.tickets.self = fmt.Sprint("host-", i)
 	h.tickets.departed = func(string) bool { return false }
 	h.tickets.loadAdapters = func([]sched.AdapterLoad) {}
@@ -465,3 +465,49 @@
 		})
 	}
 }
+
+// Guards against upstreams that get more calls than the limit that they state because hosts that have lost the store, or
+// those that still reach it, forget that the others send calls too.
+func TestLimitShares(t *testing.T) {
+	const hosts = 6
+	for _, tt := range []struct {
+		name string
+		lost int // hosts that lose the store
+	}{
+		{"no host loses the store", 0},
+		{"one host", 1},
+		{"half of the hosts", 3},
+		{"all hosts but one", 5},
+		{"all hosts", 6},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				f := newFleet(ctx, hosts)
+				time.Sleep(2 * time.Second)
+				worst := 0.0
+				for i := range 50 {
+					if i == 1 {
+						for _, h := range f.hosts[:tt.lost] {
+							h.cut.Store(true)
+						}
+					}
+					if i == 41 {
+						f.heal()
+					}
+					sum := 0.0
+					for _, h := range f.hosts {
+						sum += h.relay.tickets.hostShare()
+					}
+					worst = max(worst, sum)
+					time.Sleep(500 * time.Millisecond)
+				}
+				if worst > 1.01 {
+					t.Errorf("all hosts together use %.2f times a limit", worst)
+				}
+				cancel()
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -42,10 +42,10 @@
 
 // hostShare returns the share of the upstreams' limits of a host that decides alone.
 func (s *ticketService) hostShare() float64 {
-	if s.hosts == nil {
+	if s.senders == nil {
 		return 1
 	}
-	return 1 / float64(max(s.hosts(), 1))
+	return 1 / float64(max(s.senders(), 1))
 }
 
 // updateLimitShare sets the share of the limits that the local scheduler uses: that of this host and of the hosts whose
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -45,8 +45,8 @@
 	loadAdapters func([]sched.AdapterLoad)
 	// notices holds what upstreams state about the calls that they take. It also serves the scheduler.
 	notices *notice.Table
-	// hosts returns the number of hosts that share the limits of upstreams; nil means one.
-	hosts func() int
+	// senders returns the number of hosts that share the limits of upstreams; nil means one.
+	senders func() int
 
 	mu            sync.Mutex
 	scheduler     *sched.Scheduler
