Keep statements while their instance is listed, and no longer

Two faults of one cause: how long a statement lasts did not depend on its instance. A departure was forgotten ten minutes after the last response, although the instance was still listed, and calls went there again. And hosts that forgot a statement of an ended instance got it back from hosts that had not yet forgotten it: limits of ended instances were sent on for ever, on every exchange, until 4,096 of them would have left no room for new ones. Change: the table is told which instances are listed. Statements last for as long as that and ten minutes longer, and a host takes none from another of an instance that is not listed.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -193,6 +193,7 @@
 		return
 	}
 	ups := h.cache.Upstreams("")
+	h.tickets.notices.SetListed(time.Now(), ups)
 	h.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) {
 		k.SetConfig(c)
 		k.SetUpstreams(now, ups)
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -87,7 +87,7 @@
 	t.mu.Lock()
 	e := t.entries[r.Instance]
 	if e == nil {
-		if !r.Limited && !r.Leaving {
+		if !r.Limited && !r.Leaving || !t.isListed(r.Instance) {
 			t.mu.Unlock()
 			return
 		}
@@ -105,10 +105,10 @@
 			e.limited = false
 			changes = append(changes, Change{Kind: Limit})
 		}
-		e.limitAt, e.updatedAt = at, now
+		e.limitAt = at
 	}
 	if r.Leaving && !e.leaving {
-		e.leaving, e.leavingAt, e.updatedAt = true, now, now
+		e.leaving = true
 		changes = append(changes, Change{Kind: Leaving, Active: true})
 	}
 	t.finish(now, r.Instance, e, changes, via)
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -23,8 +23,8 @@
 	// because each such call is refused in vain.
 	trialInterval = 500 * time.Millisecond
 	maxTrialDelay = 2 * time.Second
-	// retention is how long statements are kept after the last response that confirmed them. It is longer than an entry
-	// of a live upstream may be missing.
+	// retention is how long statements of an instance that is not listed are kept. It is longer than an entry of a live
+	// upstream may be missing.
 	retention = 10 * time.Minute
 	// maxInstances bounds the number of instances with statements.
 	maxInstances = 4096
@@ -51,6 +51,7 @@
 
 		mu      sync.Mutex
 		entries map[topo.Instance]*entry
+		listed  map[topo.Instance]bool // nil before the first call of SetListed
 	}
 
 	// Change is a statement that has begun, ended or changed.
@@ -70,13 +71,12 @@
 		limit     float64
 		limitAt   time.Time // when the limit was last stated or taken back
 		leaving   bool
-		leavingAt time.Time
 		holdUntil time.Time
 		trial     bool      // no call has been answered since the hold
 		holds     int       // holds after calls that were sent as trials
 		nextTrial time.Time // earliest time of the next call while trial is set
 		next      time.Time // earliest time of the next call that the limit allows; zero if none was computed
-		updatedAt time.Time
+		neededAt  time.Time // when the instance was last listed, or has last sent a response
 		logged    map[Kind]time.Time
 	}
 )
@@ -99,7 +99,7 @@
 			return
 		}
 	}
-	e.updatedAt = now
+	e.neededAt = now
 	var changes []Change
 	switch {
 	case n.Limited:
@@ -110,7 +110,7 @@
 		changes = append(changes, Change{Kind: Limit})
 	}
 	if n.Leaving && !e.leaving {
-		e.leaving, e.leavingAt = true, now
+		e.leaving = true
 		changes = append(changes, Change{Kind: Leaving, Active: true})
 	}
 	switch {
@@ -189,15 +189,35 @@
 	if len(t.entries) >= maxInstances {
 		return nil
 	}
-	e := &entry{updatedAt: now}
+	e := &entry{neededAt: now}
 	t.entries[id] = e
 	return e
 }
 
-// prune forgets the entries that have not been confirmed for a while.
+// SetListed tells the table which instances there are. Statements last for as long as their instance is listed and for
+// a while after that, and other hosts add none of an instance that is not listed: they would send each other the
+// statements of ended instances for ever.
+func (t *Table) SetListed(now time.Time, list []*topo.Upstream) {
+	listed := make(map[topo.Instance]bool, len(list))
+	for _, u := range list {
+		listed[u.Instance()] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	t.listed = listed
+}
+
+// isListed reports whether the instance is listed, as far as that is known. The caller holds t.mu.
+func (t *Table) isListed(id topo.Instance) bool { return t.listed == nil || t.listed[id] }
+
+// prune forgets the entries of instances that have not been listed for a while.
 func (t *Table) prune(now time.Time) {
 	for id, e := range t.entries {
-		if now.Sub(e.updatedAt) > retention {
+		switch {
+		case t.listed[id]:
+			e.neededAt = now
+		case now.Sub(e.neededAt) > retention:
 			delete(t.entries, id)
 		}
 	}
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -1,6 +1,7 @@
 package notice_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -164,3 +165,56 @@
 		})
 	}
 }
+
+// Guards against statements of ended instances that hosts send each other for ever, and against a departure that is
+// forgotten while its instance is still listed.
+func TestForget(t *testing.T) {
+	const hours = 3600 * time.Second
+	for _, tt := range []struct {
+		name    string
+		n       topo.Notice
+		listed  time.Duration // how long the instance is listed
+		stale   time.Duration // how long one host has an old list
+		at      time.Duration
+		leaving bool
+	}{
+		{"leaving, listed for an hour", topo.Notice{Leaving: true}, hours, 0, hours - time.Minute, true},
+		{"leaving, ended after a minute", topo.Notice{Leaving: true}, time.Minute, 0, hours, false},
+		{"leaving, one host has an old list", topo.Notice{Leaving: true}, time.Minute, 30 * time.Minute, hours, false},
+		{"limit, ended after a minute", topo.Notice{Limited: true, Limit: 1}, time.Minute, 0, hours, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			tables := []*notice.Table{{}, {}, {}}
+			for since := time.Duration(0); since < tt.at; since += time.Second {
+				now := start.Add(since)
+				for i, table := range tables {
+					until := tt.listed
+					if i == 1 {
+						until = max(until, tt.stale)
+					}
+					if since < until {
+						table.SetListed(now, []*topo.Upstream{{ID: e1.ID, Boot: e1.Boot}})
+					} else {
+						table.SetListed(now, nil)
+					}
+					if i == 0 && since == 0 {
+						table.Apply(now, now, e1, tt.n)
+					}
+					// Hosts send each other what they know at random times, so some learn of the statement late.
+					if rng.Float64() < 0.03 {
+						tables[(i+1)%len(tables)].Merge(now.Add(100*time.Millisecond), table.State(now), "a")
+					}
+				}
+			}
+			for i, table := range tables {
+				if table.IsLeaving(e1) != tt.leaving {
+					t.Errorf("host %d: leaving is %v after %v", i, !tt.leaving, tt.at)
+				}
+				if s := table.State(start.Add(tt.at)); (s != nil) != tt.leaving {
+					t.Errorf("host %d: sends %v after %v", i, s, tt.at)
+				}
+			}
+		})
+	}
+}
