Use what engines state in responses to status reports and orders

Those to status reports and orders of the leader were not read. So the leader learned of a limit, a departure or a pause only when a call met it, and a report that was refused with a pause was sent again. Change: the client of engines returns what a response states beside its result, also of refused ones. Such a response begins statements and ends none, because a part of the engine that serves no calls may leave them out. ParseNotice returns what cannot be read with the notice, and the table's owner counts it in one place. The emulated engines of internal/emul/site state to the leader as they do to callers.

--- a/internal/emul/site/host.go
+++ b/internal/emul/site/host.go
@@ -32,6 +32,8 @@
 	headerInstance = "Upstream-Id"
 )
 
+var errNotTaken = errors.New("engine takes no request")
+
 // restartDelay is the time after which a host that could not start is tried again.
 const restartDelay = 100 * time.Millisecond
 
@@ -132,7 +134,7 @@
 	return &host.Platform{
 		Store: s.store, ConfigPrefix: configPrefix, UpstreamPrefix: upstreamPrefix, Upstream: decodeUpstream,
 		Config:  func(store.Item) (*topo.Config, error) { return s.config(), nil },
-		Engines: engineClient{},
+		Engines: engineClient{s},
 		Headers: entry.Headers{
 			ID: headerID, Deadline: "Call-Deadline", Instance: headerInstance, NotExecuted: headerRefused,
 			LastEventID: "Last-Event-Id", Priority: "Call-Priority", RetryAfter: headerRetry,
@@ -148,28 +150,31 @@
 	}
 }
 
-func parseNotice(status int, h http.Header) (topo.Notice, error) {
+func parseNotice(status int, h http.Header) topo.Notice {
 	n := topo.Notice{Partial: status != http.StatusOK, Leaving: h.Get(headerLeaving) != ""}
-	var err error
 	if value := h.Get(headerLimit); value != "" {
-		if n.Limit, err = strconv.ParseFloat(value, 64); err != nil {
-			return n, errors.Wrap(err, "parse limit")
-		}
-		n.Limited = true
+		n.Limit, n.Malformed = strconv.ParseFloat(value, 64)
+		n.Limited = n.Malformed == nil
 	}
 	if value := h.Get(headerRetry); value != "" && status == http.StatusServiceUnavailable {
-		n.Hold, err = xhttp.ParseRetryAfter(value, time.Now())
+		n.Hold, n.Malformed = xhttp.ParseRetryAfter(value, time.Now())
 	}
-	return n, err
+	return n
 }
 
-// engineClient reports engines with one resident model, which take no orders.
-type engineClient struct{}
+// engineClient reports engines with one resident model, which take no orders, and what they state now.
+type engineClient struct{ site *Site }
 
-func (engineClient) Report(_ context.Context, u *topo.Upstream) (*topo.Report, error) {
-	return &topo.Report{Boot: u.Boot, KVTotal: kvTokens, Models: []topo.Resident{{Name: modelName}}}, nil
+func (e engineClient) Report(_ context.Context, u *topo.Upstream) (*topo.Report, topo.Notice, error) {
+	r := &topo.Report{Boot: u.Boot, KVTotal: kvTokens, Models: []topo.Resident{{Name: modelName}}}
+	n, _ := e.site.notice(u.ID)
+	if n.Hold > 0 {
+		return nil, n, errNotTaken
+	}
+	return r, n, nil
 }
 
-func (engineClient) Order(context.Context, *topo.Upstream, *topo.Order) (topo.OrderResult, error) {
-	return topo.OrderRejected, nil
+func (e engineClient) Order(_ context.Context, u *topo.Upstream, _ *topo.Order) (topo.OrderResult, topo.Notice, error) {
+	n, _ := e.site.notice(u.ID)
+	return topo.OrderRejected, n, errNotTaken
 }
--- a/internal/emul/site/load.go
+++ b/internal/emul/site/load.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/topo"
 )
 
 const (
@@ -54,25 +56,17 @@
 	_, host, _ := strings.Cut(id, "@")
 	p := pair{upstream, host}
 	s.report.arrive(p, s.since())
-	hold := time.Duration(0)
-	var stated []int
+	n, stated := s.notice(upstream)
 	defer func() { s.report.state(stated, p, s.since()) }()
-	for i, st := range s.Statements {
-		if now := s.since(); st.Upstream != upstream || now < st.From || now >= st.Until {
-			continue
-		}
-		stated = append(stated, i)
-		if st.Limit > 0 {
-			w.Header().Set(headerLimit, strconv.FormatFloat(st.Limit, 'f', 2, 64))
-		}
-		if st.Leaving {
-			w.Header().Set(headerLeaving, "1")
-		}
-		hold = max(hold, st.Hold)
+	if n.Limited {
+		w.Header().Set(headerLimit, strconv.FormatFloat(n.Limit, 'f', 2, 64))
+	}
+	if n.Leaving {
+		w.Header().Set(headerLeaving, "1")
 	}
 	w.Header().Set(headerID, id)
-	if hold > 0 {
-		w.Header().Set(headerRetry, strconv.FormatFloat(hold.Seconds(), 'f', 3, 64))
+	if n.Hold > 0 {
+		w.Header().Set(headerRetry, strconv.FormatFloat(n.Hold.Seconds(), 'f', 3, 64))
 		w.Header().Set(headerRefused, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -81,6 +75,22 @@
 	_, _ = io.WriteString(w, "ok")
 }
 
+// notice returns what an upstream states now, and the indexes of these statements.
+func (s *Site) notice(upstream string) (n topo.Notice, stated []int) {
+	now := s.since()
+	for i, st := range s.Statements {
+		if st.Upstream != upstream || now < st.From || now >= st.Until {
+			continue
+		}
+		stated = append(stated, i)
+		if st.Limit > 0 {
+			n.Limited, n.Limit = true, st.Limit
+		}
+		n.Leaving, n.Hold = n.Leaving || st.Leaving, max(n.Hold, st.Hold)
+	}
+	return n, stated
+}
+
 // sendCalls sends calls to hosts at random until the load ends, and waits for their responses.
 func (s *Site) sendCalls(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.Seed, s.Seed))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,17 +58,12 @@
 	return load
 }
 
-// applyNotice records and returns what an upstream states in its response about the calls that it takes. Malformed
-// statements are counted and ignored.
+// applyNotice records and returns what an upstream states in its response about the calls that it takes.
 func (s *Server) applyNotice(sent time.Time, id topo.Instance, res *h1.Response) topo.Notice {
 	if s.ParseNotice == nil {
 		return topo.Notice{}
 	}
-	n, err := s.ParseNotice(res.Status, res.Header)
-	if err != nil {
-		s.Stats.CountEvent("notice_malformed")
-		s.Log.Debug().Err(err).Str("upstream", id.ID).Msg("statement of upstream ignored")
-	}
+	n := s.ParseNotice(res.Status, res.Header)
 	s.Notices.Apply(time.Now(), sent, id, n)
 	return n
 }
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -68,7 +68,6 @@
 	// ParseLoad parses the load that an upstream states in a response; it returns nil if there is none.
 	ParseLoad func(http.Header) (*topo.Load, error)
 
-	// ParseNotice parses what an upstream states in a response about the calls that it takes. Beside an error it
-	// returns the statements that are not malformed.
-	ParseNotice func(status int, h http.Header) (topo.Notice, error)
+	// ParseNotice parses what an upstream states in a response about the calls that it takes.
+	ParseNotice func(status int, h http.Header) topo.Notice
 )
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -63,9 +63,9 @@
 	states      map[string]*prefixState
 	upstreams   map[string]*topo.Upstream
 	hosts       map[string]topo.Host
-	lapsed      map[string]time.Duration // hosts that are no longer registered, and the boot time since when
+	lapsed      map[string]time.Duration // boot times at which registrations ended
 	hostsChange int                      // number of changes of hosts
-	outageAt    time.Duration            // boot time at which an outage of the store was last confirmed, 0 if there is none
+	outageAt    time.Duration            // boot time at which an outage was last confirmed, 0 if there is none
 	outageEnd   time.Duration            // boot time at which the copy was first confirmed after an outage, 0 before
 	nextChange  chan struct{}            // closed at the next change
 	retryNow    chan struct{}            // closed when calls to the store should be tried again at once
--- a/internal/host/notice_test.go
+++ b/internal/host/notice_test.go
@@ -409,6 +409,80 @@
 	}
 }
 
+// reportingEngine responds to every status report in the same way.
+type reportingEngine struct {
+	EngineClient
+	report *topo.Report
+	stated topo.Notice
+	err    error
+}
+
+func (e reportingEngine) Report(context.Context, *topo.Upstream) (*topo.Report, topo.Notice, error) {
+	return e.report, e.stated, e.err
+}
+
+// Guards against a leader that ignores what engines state in responses to its status reports, and against reports that
+// end what was stated in responses to calls.
+func TestStatedInReports(t *testing.T) {
+	const hold = time.Second
+	id := topo.Instance{ID: "e0", Boot: 1}
+	report := &topo.Report{Boot: 1}
+	for _, tt := range []struct {
+		name   string
+		before topo.Notice // in the response to a call
+		engine reportingEngine
+		want   topo.Notice
+	}{
+		{
+			"limit",
+			topo.Notice{},
+			reportingEngine{report: report, stated: topo.Notice{Limited: true, Limit: 2}},
+			topo.Notice{Limited: true, Limit: 2},
+		},
+		{
+			"leaving",
+			topo.Notice{},
+			reportingEngine{report: report, stated: topo.Notice{Leaving: true}},
+			topo.Notice{Leaving: true},
+		},
+		{
+			"hold",
+			topo.Notice{},
+			reportingEngine{stated: topo.Notice{Hold: hold}, err: errNoConnection},
+			topo.Notice{Hold: hold},
+		},
+		{
+			"nothing stated after a limit",
+			topo.Notice{Limited: true, Limit: 2},
+			reportingEngine{report: report},
+			topo.Notice{Limited: true, Limit: 2},
+		},
+		{
+			"nothing stated after a hold",
+			topo.Notice{Hold: hold},
+			reportingEngine{report: report},
+			topo.Notice{Hold: hold},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tickets := testTickets()
+				tickets.notices.Apply(time.Now(), time.Now(), id, tt.before)
+				r := &reconciler{tickets: tickets, engines: tt.engine, stats: tickets.stats}
+				r.fetchReport(t.Context(), &engineState{up: topo.Upstream{ID: id.ID, Boot: id.Boot}})
+				limit, limited := tickets.notices.LimitOf(id)
+				got := topo.Notice{
+					Limited: limited, Limit: limit, Leaving: tickets.notices.IsLeaving(id),
+					Hold: tickets.notices.HoldWait(time.Now(), id),
+				}
+				if got != tt.want {
+					t.Errorf("the table has %+v, want %+v", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against calls to an upstream that has asked this host for a pause, against a crowd of calls when the pause
 // ends, and against an upstream that takes down a service by asking again and again.
 func TestStatedHolds(t *testing.T) {
@@ -466,8 +540,8 @@
 	}
 }
 
-// Guards against upstreams that get more calls than the limit that they state because hosts that have lost the store, or
-// those that still reach it, forget that the others send calls too.
+// Guards against upstreams that get more calls than the limit that they state because hosts that have lost the store,
+// or those that still reach it, forget that the others send calls too.
 func TestLimitShares(t *testing.T) {
 	const hosts = 6
 	for _, tt := range []struct {
--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -27,6 +27,12 @@
 		Float64("limit", c.Limit).Dur("hold_ms", c.Hold).Str("via", c.Via).Msg(msg)
 }
 
+// noticeMalformed counts a statement that cannot be read.
+func (h *Host) noticeMalformed(id topo.Instance, err error) {
+	h.Stats.CountEvent("notice_malformed")
+	h.Log.Debug().Err(err).Str("upstream", id.ID).Msg("statement of upstream ignored")
+}
+
 // tellLeader sends what an upstream has just stated to the leader, which schedules calls of all hosts.
 func (s *ticketService) tellLeader(id topo.Instance) {
 	s.mu.Lock()
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -136,7 +136,8 @@
 	st.mu.Lock()
 	up := st.up
 	st.mu.Unlock()
-	rep, err := r.engines.Report(ctx, &up)
+	rep, stated, err := r.engines.Report(ctx, &up)
+	r.applyNotice(&up, stated)
 	st.mu.Lock()
 	st.polling = false
 	if err != nil {
@@ -157,6 +158,11 @@
 	r.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) { k.SetReport(now, up.ID, rep) })
 }
 
+// applyNotice records what an engine states in a response to the leader.
+func (r *reconciler) applyNotice(u *topo.Upstream, n topo.Notice) {
+	r.tickets.notices.Apply(time.Now(), time.Time{}, u.Instance(), n)
+}
+
 // confirm ends the load and the unload in progress that the report confirms, or that have taken longer than
 // reportInterval on an engine that is not busy.
 func (r *reconciler) confirm(st *engineState, rep *topo.Report) {
@@ -337,7 +343,8 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	start := time.Now()
-	result, err := r.engines.Order(ctx, &up, &o)
+	result, stated, err := r.engines.Order(ctx, &up, &o)
+	r.applyNotice(&up, stated)
 	r.log.Info().Err(err).Str("upstream", up.ID).Bool("unload", o.Unload).Str("model", o.Model).
 		Str("adapter", o.Adapter).Int64("expected", o.ExpectedSequence).Int64("token", o.Fence).
 		Uint8("result", uint8(result)).Dur("took_ms", time.Since(start)).Msg("order sent")
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -62,8 +62,8 @@
 
 	// EngineClient fetches status reports from engines and sends orders to them; it never repeats an order.
 	EngineClient interface {
-		Report(ctx context.Context, u *topo.Upstream) (*topo.Report, error)
-		Order(ctx context.Context, u *topo.Upstream, o *topo.Order) (topo.OrderResult, error)
+		Report(ctx context.Context, u *topo.Upstream) (*topo.Report, topo.Notice, error)
+		Order(ctx context.Context, u *topo.Upstream, o *topo.Order) (topo.OrderResult, topo.Notice, error)
 	}
 )
 
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -48,6 +48,8 @@
 	Table struct {
 		// Changed is called after a statement has begun or ended, and after a limit has changed; nil does nothing.
 		Changed func(Change)
+		// Malformed is called for statements that cannot be read; nil does nothing.
+		Malformed func(topo.Instance, error)
 
 		mu      sync.Mutex
 		entries map[topo.Instance]*entry
@@ -81,12 +83,16 @@
 	}
 )
 
-// Apply records what a response states, to a request sent at the given time. A statement that a response leaves out
-// ends only if the request was sent after the statement, because responses may overtake each other.
+// Apply records what a response states, to a call sent at the given time. A statement that a response leaves out ends
+// only if the call was sent after the statement, because responses may overtake each other. The time is zero for a
+// response to something else than a call, such as a status report: it ends no statement.
 func (t *Table) Apply(now, sent time.Time, id topo.Instance, n topo.Notice) {
 	if t == nil {
 		return
 	}
+	if n.Malformed != nil && t.Malformed != nil {
+		t.Malformed(id, n.Malformed)
+	}
 	t.mu.Lock()
 	e := t.entries[id]
 	if e == nil {
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -55,6 +55,8 @@
 		Leaving bool          // it takes no further calls
 		Hold    time.Duration // it wants no calls from this host for this long; 0 if it does not say so
 		Partial bool          // what the response leaves out is not taken back by it
+		// Malformed is why statements are left out that cannot be read, or nil.
+		Malformed error
 	}
 
 	// Adapter names an adapter of a model.
