Send other hosts only the statements that have changed

Cause: every request for changes and every response had all statements of the sender, though most had not changed. Change: the table counts its changes, and each direction of a connection has a position up to which it was sent. A statement that is only confirmed is not sent. TestChanges: after any changes at four hosts, lost connections and other lists, all hosts agree, and nothing is sent again.

--- a/internal/host/notice_test.go
+++ b/internal/host/notice_test.go
@@ -60,6 +60,8 @@
 		tickets  *ticketService
 		balancer *entry.Balancer
 		notices  *notice.Table
+		sent     notice.Position // of what the source of changes was sent
+		received notice.Position // of what it has sent
 	}
 )
 
@@ -139,8 +141,11 @@
 		f.mu.Unlock()
 		source := hosts[0]
 		for _, h := range hosts[1:] {
-			source.notices.Merge(now, h.notices.State(now), h.tickets.self)
-			h.notices.Merge(now, source.notices.State(now), source.tickets.self)
+			var changes *notice.State
+			changes, h.sent = h.notices.Changes(now, h.sent)
+			source.notices.Merge(now, changes, h.tickets.self)
+			changes, h.received = source.notices.Changes(now, h.received)
+			h.notices.Merge(now, changes, source.tickets.self)
 		}
 	}
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -12,6 +12,7 @@
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -175,8 +176,9 @@
 	}
 	defer c.Close()
 	var outdatedSince time.Time
+	var sent notice.Position
 	for ctx.Err() == nil {
-		if err := r.fetchChanges(ctx, c, r.cache.limits.Poll); err != nil {
+		if err := r.fetchChanges(ctx, c, r.cache.limits.Poll, &sent); err != nil {
 			if !errors.Is(err, errSourceLostStore) && !errors.Is(err, errSourceStale) {
 				return err
 			}
@@ -195,16 +197,19 @@
 	return ctx.Err()
 }
 
-// fetchChanges sends one request for changes and merges the response. It returns errSourceLostStore if the other host
-// cannot reach the store, and errSourceStale if its copy of the store may be outdated.
-func (r *watchRelay) fetchChanges(ctx context.Context, c *link.Conn, wait time.Duration) error {
+// fetchChanges sends one request for changes and merges the response; sent is the position of the statements that were
+// sent on the connection. It returns errSourceLostStore if the other host cannot reach the store, and errSourceStale if
+// its copy of the store may be outdated.
+func (r *watchRelay) fetchChanges(ctx context.Context, c *link.Conn, wait time.Duration, sent *notice.Position) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
 	start := r.cache.now()
-	m, err := c.RoundTrip(ctx, &link.Message{
+	request := &link.Message{
 		Kind: link.GetChanges, Host: r.self.Name, Prefixes: r.cache.knownRevisions(), WaitMS: wait.Milliseconds(),
-		Poison: r.tickets.poisonState(), Notices: r.tickets.notices.State(time.Now()),
-	})
+		Poison: r.tickets.poisonState(),
+	}
+	request.Notices, *sent = r.tickets.notices.Changes(time.Now(), *sent)
+	m, err := c.RoundTrip(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -277,11 +282,12 @@
 		return err
 	}
 	defer c.Close()
-	return r.fetchChanges(ctx, c, 0)
+	return r.fetchChanges(ctx, c, 0, new(notice.Position))
 }
 
 // serve answers requests for changes from another host until its connection ends.
 func (r *watchRelay) serve(c *link.Conn, m *link.Message) {
+	var sent notice.Position
 	for m.Kind == link.GetChanges {
 		arrived := r.cache.now()
 		r.tickets.mergePoison(m.Poison, m.Host)
@@ -290,8 +296,9 @@
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
 			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
-			Poison: r.tickets.poisonState(), Notices: r.tickets.notices.State(time.Now()),
+			Poison: r.tickets.poisonState(),
 		}
+		response.Notices, sent = r.tickets.notices.Changes(time.Now(), sent)
 		if err := c.Send(response); err != nil {
 			return
 		}
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -15,6 +15,9 @@
 )
 
 type (
+	// Position counts the changes of a Table. Each connection between hosts has one for each direction.
+	Position uint64
+
 	// State is what hosts tell each other. Holds are not part of it, because they bind only the host that got them.
 	State struct {
 		Records []Record `cbor:"1,keyasint"`
@@ -30,24 +33,29 @@
 	}
 )
 
-// State returns the statements for other hosts, or nil if there are none.
-func (t *Table) State(now time.Time) *State {
+// Changes returns the statements of listed instances that have changed after a position, or nil if there are none, and
+// the position for the next call. Position 0 is before the first change. A statement that is only confirmed has not
+// changed.
+func (t *Table) Changes(now time.Time, after Position) (*State, Position) {
 	if t == nil {
-		return nil
+		return nil, 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	var out State
 	for id, e := range t.entries {
+		if e.changed <= after || !t.isListed(id) {
+			continue
+		}
 		if r, ok := e.record(now, id); ok {
 			out.Records = append(out.Records, r)
 		}
 	}
 	if len(out.Records) == 0 {
-		return nil
+		return nil, t.position
 	}
-	return &out
+	return &out, t.position
 }
 
 // StateOf returns the statements of one instance, or nil if there are none.
@@ -87,7 +95,7 @@
 	t.mu.Lock()
 	e := t.entries[r.Instance]
 	if e == nil {
-		if !r.Limited && !r.Leaving || !t.isListed(r.Instance) {
+		if !r.Limited && !r.Leaving {
 			t.mu.Unlock()
 			return
 		}
@@ -97,7 +105,10 @@
 		}
 	}
 	var changes []Change
-	if at := now.Add(-r.LimitAge); r.LimitAge >= 0 && at.After(e.limitAt.Add(mergeSlack)) {
+	differs := r.Limited != e.limited || r.Limited && max(r.Limit, minLimit) != e.limit
+	switch at := now.Add(-r.LimitAge); {
+	case r.LimitAge < 0:
+	case at.After(e.limitAt.Add(mergeSlack)):
 		switch {
 		case r.Limited:
 			changes = e.setLimit(now, r.Limit, changes)
@@ -106,6 +117,9 @@
 			changes = append(changes, Change{Kind: Limit})
 		}
 		e.limitAt = at
+	case differs:
+		// The sender has an older statement, so it needs this one, which may not have changed since it was sent.
+		t.mark(e)
 	}
 	if r.Leaving && !e.leaving {
 		e.leaving = true
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -51,9 +51,10 @@
 		// Malformed is called for statements that cannot be read; nil does nothing.
 		Malformed func(topo.Instance, error)
 
-		mu      sync.Mutex
-		entries map[topo.Instance]*entry
-		listed  map[topo.Instance]bool // nil before the first call of SetListed
+		mu       sync.Mutex
+		entries  map[topo.Instance]*entry
+		listed   map[topo.Instance]bool // nil before the first call of SetListed
+		position Position
 	}
 
 	// Change is a statement that has begun, ended or changed.
@@ -78,6 +79,7 @@
 		holds     int       // holds after calls that were sent as trials
 		nextTrial time.Time // earliest time of the next call while trial is set
 		next      time.Time // earliest time of the next call that the limit allows; zero if none was computed
+		changed   Position  // of the last change that other hosts are told
 		neededAt  time.Time // when the instance was last listed, or has last sent a response
 		logged    map[Kind]time.Time
 	}
@@ -166,6 +168,9 @@
 	for i := range changes {
 		c := &changes[i]
 		c.Instance, c.Via = id, via
+		if c.Kind != Hold {
+			t.mark(e)
+		}
 		if e.logged == nil {
 			e.logged = make(map[Kind]time.Time)
 		}
@@ -184,6 +189,12 @@
 	}
 }
 
+// mark makes the entry one that other hosts have not been told of. The caller holds t.mu.
+func (t *Table) mark(e *entry) {
+	t.position++
+	e.changed = t.position
+}
+
 // add adds an entry, or returns nil if there are too many that are still needed.
 func (t *Table) add(now time.Time, id topo.Instance) *entry {
 	if t.entries == nil {
@@ -201,8 +212,8 @@
 }
 
 // SetListed tells the table which instances there are. Statements last for as long as their instance is listed and for
-// a while after that, and other hosts add none of an instance that is not listed: they would send each other the
-// statements of ended instances for ever.
+// a while after that, in which other hosts are not told of them: hosts would send each other the statements of ended
+// instances for ever.
 func (t *Table) SetListed(now time.Time, list []*topo.Upstream) {
 	listed := make(map[topo.Instance]bool, len(list))
 	for _, u := range list {
@@ -211,6 +222,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
+	for id, e := range t.entries {
+		if listed[id] && !t.isListed(id) {
+			t.mark(e)
+		}
+	}
 	t.listed = listed
 }
 
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -149,8 +149,10 @@
 				b.Apply(at, at, e1, n)
 			}
 			now := start.Add(3 * time.Second)
-			b.Merge(now, a.State(now), "a")
-			a.Merge(now, b.State(now), "b")
+			changes, _ := a.Changes(now, 0)
+			b.Merge(now, changes, "a")
+			changes, _ = b.Changes(now, 0)
+			a.Merge(now, changes, "b")
 			for _, table := range []*notice.Table{&a, &b} {
 				if _, limited := table.LimitOf(e1); limited != tt.limited {
 					t.Errorf("limited is %v", limited)
@@ -203,7 +205,8 @@
 					}
 					// Hosts send each other what they know at random times, so some learn of the statement late.
 					if rng.Float64() < 0.03 {
-						tables[(i+1)%len(tables)].Merge(now.Add(100*time.Millisecond), table.State(now), "a")
+						changes, _ := table.Changes(now, 0)
+						tables[(i+1)%len(tables)].Merge(now.Add(100*time.Millisecond), changes, "a")
 					}
 				}
 			}
@@ -211,10 +214,86 @@
 				if table.IsLeaving(e1) != tt.leaving {
 					t.Errorf("host %d: leaving is %v after %v", i, !tt.leaving, tt.at)
 				}
-				if s := table.State(start.Add(tt.at)); (s != nil) != tt.leaving {
+				if s, _ := table.Changes(start.Add(tt.at), 0); (s != nil) != tt.leaving {
 					t.Errorf("host %d: sends %v after %v", i, s, tt.at)
 				}
 			}
 		})
 	}
 }
+
+// Guards against hosts that send each other all statements again and again, and against a change that a host misses
+// because only changes are sent: after any changes at any hosts and lost connections all hosts agree.
+func TestChanges(t *testing.T) {
+	const (
+		hosts     = 4
+		instances = 5
+		steps     = 60
+	)
+	type linkState struct{ there, back notice.Position }
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, seed))
+		now := start
+		var tables [hosts]notice.Table
+		var links [hosts]linkState // with host 0
+		// exchange returns the number of records that were sent.
+		exchange := func(i int) int {
+			var a, b *notice.State
+			a, links[i].there = tables[i].Changes(now, links[i].there)
+			now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
+			tables[0].Merge(now, a, "i")
+			b, links[i].back = tables[0].Changes(now, links[i].back)
+			tables[i].Merge(now, b, "0")
+			n := 0
+			for _, s := range []*notice.State{a, b} {
+				if s != nil {
+					n += len(s.Records)
+				}
+			}
+			return n
+		}
+		list := make([]*topo.Upstream, instances)
+		for i := range list {
+			list[i] = &topo.Upstream{ID: string(rune('a' + i))}
+		}
+		for range steps {
+			now = now.Add(100 * time.Millisecond)
+			i, id := rng.IntN(hosts), topo.Instance{ID: string(rune('a' + rng.IntN(instances)))}
+			switch rng.IntN(6) {
+			case 0, 1:
+				tables[i].Apply(now, now, id, topo.Notice{Limited: true, Limit: float64(1 + rng.IntN(3))})
+			case 2:
+				tables[i].Apply(now, now, id, topo.Notice{Leaving: rng.IntN(4) == 0})
+			case 3:
+				tables[i].SetListed(now, list[:rng.IntN(instances+1)])
+			case 4:
+				links[i] = linkState{}
+			default:
+				exchange(i)
+			}
+		}
+		for i := range tables {
+			tables[i].SetListed(now, list)
+		}
+		for range 2 * hosts {
+			now = now.Add(100 * time.Millisecond)
+			for i := 1; i < hosts; i++ {
+				exchange(i)
+			}
+		}
+		for i := 1; i < hosts; i++ {
+			if n := exchange(i); n > 0 {
+				t.Errorf("seed %d: %d statements were sent again", seed, n)
+			}
+			for _, u := range list {
+				limit, limited := tables[i].LimitOf(u.Instance())
+				limit0, limited0 := tables[0].LimitOf(u.Instance())
+				leaving, leaving0 := tables[i].IsLeaving(u.Instance()), tables[0].IsLeaving(u.Instance())
+				if limit != limit0 || limited != limited0 || leaving != leaving0 {
+					t.Errorf("seed %d: host %d has %v %v %v for %s, host 0 has %v %v %v", seed, i, limit, limited, leaving,
+						u.ID, limit0, limited0, leaving0)
+				}
+			}
+		}
+	}
+}
