Keep the number of calls that a limit allows when the share of a host changes

By the logs, 45 of 63 engines got no call after 25 s, when their limits ended, so nothing could take the limits back. Cause: a host that decides alone has one share of 82 of a limit, and sets the time of its next call up to 41 s ahead. When it became the leader, with nearly the whole limit, that time stayed. Change: when the share or the limit changes, the time to the next call is scaled, so the number of calls saved up or sent too early stays the same. TestShareChanges failed before: 0 calls in 10 s where 28 to 34 are expected.

--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -75,12 +75,13 @@
 		limitAt   time.Time // when the limit was last stated or taken back
 		leaving   bool
 		holdUntil time.Time
-		trial     bool      // no call has been answered since the hold
-		holds     int       // holds after calls that were sent as trials
-		nextTrial time.Time // earliest time of the next call while trial is set
-		next      time.Time // earliest time of the next call that the limit allows; zero if none was computed
-		changed   Position  // of the last change that other hosts are told
-		neededAt  time.Time // when the instance was last listed, or has last sent a response
+		trial     bool          // no call has been answered since the hold
+		holds     int           // holds after calls that were sent as trials
+		nextTrial time.Time     // earliest time of the next call while trial is set
+		next      time.Time     // earliest time of the next call that the limit allows; zero if none was computed
+		spacing   time.Duration // period for which next was computed
+		changed   Position      // of the last change that other hosts are told
+		neededAt  time.Time     // when the instance was last listed, or has last sent a response
 		logged    map[Kind]time.Time
 	}
 )
@@ -362,13 +363,18 @@
 }
 
 // advance drops the calls that were allowed too long ago. The first one is allowed at a random time, so that hosts that
-// learn of the limit together do not all send a call at once.
+// learn of the limit together do not all send a call at once. When the limit or the share changes, the number of calls
+// saved up or sent too early stays the same.
 func (e *entry) advance(now time.Time, share float64) {
 	period := e.period(share)
 	if e.next.IsZero() {
-		e.next = now.Add(time.Duration(rand.Float64() * float64(period)))
+		e.next, e.spacing = now.Add(time.Duration(rand.Float64()*float64(period))), period
 		return
 	}
+	if period != e.spacing {
+		calls := float64(e.next.Sub(now)) / float64(e.spacing)
+		e.next, e.spacing = now.Add(time.Duration(calls*float64(period))), period
+	}
 	window := max(minWindow, e.period(1))
 	if late := now.Sub(e.next) - window; late > 0 {
 		n := math.Ceil(float64(late) / float64(period))
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -297,3 +297,27 @@
 		}
 	}
 }
+
+// Guards against an upstream that gets no calls because a host that decided alone, with a small share of its limit, has
+// become the leader, and against one that gets too many after the opposite.
+func TestShareChanges(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		before, after float64
+		least, max    int // calls in 10 s at the second share
+	}{
+		{"a host becomes the leader", 0.01, 1, 28, 34},
+		{"a leader decides alone", 1, 0.01, 0, 2},
+		{"followers come back", 0.5, 1, 28, 34},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var table notice.Table
+			table.Apply(start, start, e1, topo.Notice{Limited: true, Limit: 3})
+			sendFor(&table, start, 10*time.Second, tt.before)
+			n := sendFor(&table, start.Add(10*time.Second), 10*time.Second, tt.after)
+			if n < tt.least || n > tt.max {
+				t.Errorf("%d calls in 10 s, want %d to %d", n, tt.least, tt.max)
+			}
+		})
+	}
+}
