--- a/internal/plain/client_test.go
+++ b/internal/plain/client_test.go
@@ -1,8 +1,10 @@
 package plain_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,3 +158,35 @@
 		}
 	})
 }
+
+// Guards against a response that ends in the middle of its head or body and counts as a complete one.
+func TestResponseEndsEarly(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Field: value\r\nContent-Length: 2\r\n\r\nok"
+	for n := range len(response) + 1 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = io.WriteString(nc, response[:n])
+			}
+			_ = nc.Close()
+		}()
+		c := &plain.Client{}
+		resp, err := c.Forward(t.Context(), plain.Call{Method: http.MethodGet, URL: "http://" + l.Addr().String()})
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		if complete := err == nil; complete != (n == len(response)) {
+			t.Errorf("after %d of %d bytes: complete is %v", n, len(response), complete)
+		}
+		c.HTTP.Close()
+		_ = l.Close()
+	}
+}
