Draw emulated deployments with statements, restarts and outages from seeds

Calls to a process that does not listen are counted apart from calls that got no response.

One call of seed 7 (--for 14s) got no response: it was sent to a host in the instant in which that closed its listener at the end of a planned stop, and was not read.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/figreel/figreel/internal/emul/site"
 )
@@ -16,6 +17,7 @@
 const exitNotFollowed = 3
 
 func main() {
+	logx.Disable()
 	cmd := &cli.Command{
 		Name:  "load",
 		Usage: "send calls to hosts with emulated upstreams that state limits, departures and pauses",
@@ -33,6 +35,7 @@
 			&cli.DurationFlag{Name: "store-away", Usage: "length of an outage of the store; 0 means none"},
 			&cli.DurationFlag{Name: "work", Value: 80 * time.Millisecond, Usage: "time of each call at an upstream"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the times and hosts of calls"},
+			&cli.IntFlag{Name: "random", Usage: "number of random deployments; with --seed, --for and --log only"},
 			&cli.BoolFlag{Name: "log", Usage: "print the logs of all hosts"},
 		},
 		Action: run,
@@ -44,6 +47,12 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	switch n := cmd.Int("random"); {
+	case n < 0:
+		return errors.New("random must not be negative")
+	case n > 0:
+		return runRandom(ctx, cmd, n)
+	}
 	rate, d := cmd.Float("rate"), cmd.Duration("for")
 	s := &site.Site{
 		Hosts: cmd.Int("hosts"), Engines: cmd.Int("engines"), Plain: cmd.Int("plain"), ModelRate: rate * 2 / 3,
@@ -65,8 +74,7 @@
 			s.RestartAt = append(s.RestartAt, at)
 		}
 	}
-	s.StoreAwayFrom = d / 2
-	s.StoreAwayUntil = d/2 + cmd.Duration("store-away")
+	s.Outages = []site.Outage{{From: d / 2, Until: d/2 + cmd.Duration("store-away")}}
 	r, err := s.Run(ctx)
 	if err != nil {
 		return err
@@ -79,3 +87,35 @@
 	}
 	return nil
 }
+
+// runRandom runs random deployments one after the other. It prints a line for each, and the calls of those in which
+// statements were not followed.
+func runRandom(ctx context.Context, cmd *cli.Command, n int) error {
+	d := cmd.Duration("for")
+	if d < time.Second {
+		return errors.New("for must be at least 1 s")
+	}
+	failed := 0
+	for i := range n {
+		s := site.Random(cmd.Uint64("seed")+uint64(i), d)
+		s.Log = site.Logger(cmd.Bool("log"))
+		r, err := s.Run(ctx)
+		if err != nil {
+			return err
+		}
+		violations := r.Violations()
+		fmt.Printf("seed %d: %d hosts, %d statements, %d restarts, %d outages, calls %v, not followed %d\n",
+			s.Seed, s.Hosts, len(s.Statements), len(s.RestartAt), len(s.Outages), r.Outcomes(), len(violations))
+		if len(violations) == 0 {
+			continue
+		}
+		failed++
+		if err := r.Write(os.Stdout); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	if failed > 0 {
+		os.Exit(exitNotFollowed)
+	}
+	return nil
+}
--- a/internal/emul/site/host.go
+++ b/internal/emul/site/host.go
@@ -40,6 +40,7 @@
 // siteHost is a host that can be restarted at the same addresses.
 type siteHost struct {
 	site     *Site
+	index    int
 	settings host.Settings
 
 	mu         sync.Mutex
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &siteHost{site: s, settings: host.Settings{
+	return &siteHost{site: s, index: i, settings: host.Settings{
 		Name: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%3), Front: addrs[0], Link: addrs[1],
 		ReadyAddr: addrs[2], DirectoryAddr: addrs[3], Grace: stopTime, DrainTime: 2 * time.Second, RetryRatio: 0.2,
 		RetryWindow: 10 * time.Second, RetrySlack: 50, HandoverDelay: 3 * time.Second, AddressTTL: time.Second,
@@ -81,7 +82,7 @@
 	for {
 		run := &host.Host{
 			Settings: h.settings, Pool: &h1.Pool{IDHeader: headerID}, Stats: &stats.Set{}, Stop: stop,
-			Platform: h.site.platform(), Log: log,
+			Platform: h.site.platform(h.index), Log: log,
 		}
 		err := run.Run(ctx)
 		if err == nil {
@@ -129,12 +130,13 @@
 	return fmt.Sprintf("%s.%d", h.settings.Name, h.generation)
 }
 
-// platform returns what hosts know of the deployment.
-func (s *Site) platform() *host.Platform {
+// platform returns what the host with this index knows of the deployment.
+func (s *Site) platform(index int) *host.Platform {
 	return &host.Platform{
-		Store: s.store, ConfigPrefix: configPrefix, UpstreamPrefix: upstreamPrefix, Upstream: decodeUpstream,
-		Config:  func(store.Item) (*topo.Config, error) { return s.config(), nil },
-		Engines: engineClient{s},
+		Store: &hostStore{s.store, s, index}, ConfigPrefix: configPrefix, UpstreamPrefix: upstreamPrefix,
+		Upstream: decodeUpstream,
+		Config:   func(store.Item) (*topo.Config, error) { return s.config(), nil },
+		Engines:  engineClient{s},
 		Headers: entry.Headers{
 			ID: headerID, Deadline: "Call-Deadline", Instance: headerInstance, NotExecuted: headerRefused,
 			LastEventID: "Last-Event-Id", Priority: "Call-Priority", RetryAfter: headerRetry,
--- a/internal/emul/site/load.go
+++ b/internal/emul/site/load.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -120,7 +121,12 @@
 	r.Host = hostName
 	r.Header.Set(headerID, fmt.Sprintf("c%d@%s", n, h.label()))
 	resp, err := client.Do(r)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.report.end("not listening")
+		return
+	case err != nil:
+		s.Log.Warn().Err(err).Str("call", r.Header.Get(headerID)).Msg("call got no response")
 		s.report.end("no response")
 		return
 	}
--- a/internal/emul/site/site.go
+++ b/internal/emul/site/site.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/store/stub"
 	"github.com/figreel/figreel/internal/topo"
@@ -43,9 +44,8 @@
 		Statements []Statement
 		// RestartAt are the times at which one host after the other is restarted.
 		RestartAt []time.Duration
-		// StoreAwayFrom and StoreAwayUntil bound an outage of the store; there is none if they are equal.
-		StoreAwayFrom, StoreAwayUntil time.Duration
-		Log                           zerolog.Logger
+		Outages   []Outage
+		Log       zerolog.Logger
 
 		store   *stub.Store
 		started time.Time
@@ -107,25 +107,13 @@
 	return &s.report, nil
 }
 
-// disrupt restarts hosts and takes the store away as planned.
+// disrupt restarts one host after the other as planned.
 func (s *Site) disrupt(ctx context.Context) {
-	away := s.StoreAwayUntil > s.StoreAwayFrom
-	restarts := s.RestartAt
-	for n := 0; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		now := s.since()
-		if len(restarts) > 0 && now >= restarts[0] {
-			restarts = restarts[1:]
-			s.hosts[n%len(s.hosts)].restart(ctx)
-			n++
-		}
-		switch {
-		case !away:
-		case now >= s.StoreAwayUntil:
-			s.store.Do(func() { s.store.Fault = nil })
-			away = false
-		case now >= s.StoreAwayFrom:
-			s.store.Do(func() { s.store.Fault = func(string) error { return store.ErrNotExecuted } })
+	for n, at := range s.RestartAt {
+		if !clock.Sleep(ctx, at-s.since()) {
+			return
 		}
+		s.hosts[n%len(s.hosts)].restart(ctx)
 	}
 }
 
--- a/internal/emul/site/site_test.go
+++ b/internal/emul/site/site_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 	const second = time.Second
 	s := &site.Site{
 		Hosts: 3, Engines: 4, Plain: 3, ModelRate: 80, PlainRate: 30, WorkTime: 80 * time.Millisecond, Duration: 8 * second,
-		Seed: 1, RestartAt: []time.Duration{2 * second}, StoreAwayFrom: 4 * second, StoreAwayUntil: 6 * second,
+		Seed: 1, RestartAt: []time.Duration{2 * second}, Outages: []site.Outage{{From: 4 * second, Until: 6 * second}},
 		Statements: []site.Statement{
 			{Upstream: "engine-3", From: second, Until: 8 * second, Limit: 2},
 			{Upstream: "plain-0", From: second, Until: 8 * second, Limit: 2},
@@ -39,3 +40,21 @@
 		_ = r.Write(os.Stderr)
 	}
 }
+
+// Guards against calls that do not follow what upstreams state while restarts overlap and some hosts, or all, lose the
+// store. More seeds: go run ./cmd/load --random 50.
+func TestRandomStatements(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := site.Random(seed, 8*time.Second).Run(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if v := r.Violations(); len(v) > 0 {
+				t.Errorf("not followed: %+v", v)
+				_ = r.Write(os.Stderr)
+			}
+		})
+	}
+}
