Wait between checks of a lost lease for load tickets

Seen: a figreel serve process that an ended run of TestProcesses had left over had used 28 min 49 s of processor time in 30 min 34 s. Its only running goroutine was in (*Limiter).Run of internal/quota. Cause: Run waits until the next load token is due. That time was set in the last lease term and stayed after the lease had been lost, so from then on it lay in the past and every wait was 0. It happens to any limiter that loses its lease within ten seconds of obtaining it, or while a request waits for a token, and lasts until the host holds the lease again; which of the two it was in that process is not known. Change: the end of a term forgets the time.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -122,6 +122,7 @@
 func (l *Limiter) endTerm() {
 	if l.hasLease {
 		l.hasLease = false
+		l.nextToken = time.Time{}
 		close(l.termEnded)
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -266,3 +266,21 @@
 		}
 	}
 }
+
+// Guards against a limiter that checks a lost lease without pause: its host used a whole processor until it held the
+// lease again.
+func TestLostLeaseEndsWait(t *testing.T) {
+	valid := true
+	l := &Limiter{
+		Limits: func() envdoc.WeightStore { return limits }, Pools: func() []string { return []string{"p0"} },
+		Valid: func(time.Time) bool { return valid }, Epoch: func() int64 { return 1 }, wake: make(chan struct{}, 1),
+	}
+	start := time.Unix(100, 0)
+	l.runRound(start)
+	valid = false
+	for _, after := range []time.Duration{time.Second, defaultLeaseTime + time.Second, time.Hour} {
+		if wait := l.runRound(start.Add(after)); wait != tickInterval {
+			t.Errorf("the next round is due %v after one at %v, want %v", wait, after, tickInterval)
+		}
+	}
+}
