Log the era of the store and lists that are dropped as older

The logs of a host could not tell a dropped list from a watch that goes on across a restore of the store. The era of the store's responses is read by its client and returned with each list and watch as part of the version; a list of another era or of an older version is logged with both versions and counted. No decision changes.

--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -99,7 +99,7 @@
 	go h.Run(ctx)
 	go func() {
 		listed := false
-		var rev int64
+		var rev store.Version
 		for ctx.Err() == nil {
 			if h.isPartitioned() {
 				time.Sleep(10 * time.Millisecond)
--- a/internal/elect/schedule_test.go
+++ b/internal/elect/schedule_test.go
@@ -69,7 +69,7 @@
 		nextStep  time.Duration
 		nextProbe time.Duration
 		nextRead  time.Duration
-		revision  int64
+		version   store.Version
 		items     map[string]store.Item
 		confirmed time.Duration // when most hosts have confirmed the outage
 	}
@@ -214,23 +214,23 @@
 	h.nextRead = now + h.slow
 	if !h.reachesStore() {
 		o := h.run.hosts[h.run.rng.IntN(len(h.run.hosts))]
-		if o.reachable(h) && h.reachable(o) && o.revision > h.revision {
-			h.replace(o.list(), o.revision)
+		if o.reachable(h) && h.reachable(o) && o.version.Compare(h.version) > 0 {
+			h.replace(o.list(), o.version)
 		}
 		return
 	}
-	if h.revision == 0 {
-		if items, revision, err := h.run.store.List(ctx, Prefix); err == nil {
-			h.replace(items, revision)
+	if h.version.Revision == 0 {
+		if items, as, err := h.run.store.List(ctx, Prefix); err == nil {
+			h.replace(items, as)
 		}
 		return
 	}
-	events, revision, err := h.run.store.Watch(ctx, Prefix, h.revision, 0)
+	events, as, err := h.run.store.Watch(ctx, Prefix, h.version, 0)
 	if err != nil {
-		h.revision = 0
+		h.version = store.Version{}
 		return
 	}
-	h.revision = revision
+	h.version = as
 	for _, e := range events {
 		h.items[e.Key] = e.Item
 		if e.Deleted {
@@ -251,12 +251,12 @@
 	return items
 }
 
-func (h *simHost) replace(items []store.Item, revision int64) {
+func (h *simHost) replace(items []store.Item, as store.Version) {
 	clear(h.items)
 	for _, it := range items {
 		h.items[it.Key] = it
 	}
-	h.revision, h.nextStep = revision, 0
+	h.version, h.nextStep = as, 0
 	h.Replace(items)
 }
 
--- a/internal/emul/site/outage.go
+++ b/internal/emul/site/outage.go
@@ -34,25 +34,25 @@
 }
 
 // List implements store.Store.
-func (h *hostStore) List(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+func (h *hostStore) List(ctx context.Context, prefix string) ([]store.Item, store.Version, error) {
 	if err := h.reach(); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
 	return h.Store.List(ctx, prefix)
 }
 
 // Watch implements store.Store.
 func (h *hostStore) Watch(
-	ctx context.Context, prefix string, after int64, wait time.Duration,
-) ([]store.Event, int64, error) {
+	ctx context.Context, prefix string, after store.Version, wait time.Duration,
+) ([]store.Event, store.Version, error) {
 	if err := h.reach(); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
-	events, revision, err := h.Store.Watch(ctx, prefix, after, wait)
+	events, as, err := h.Store.Watch(ctx, prefix, after, wait)
 	if err := h.reach(); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
-	return events, revision, err
+	return events, as, err
 }
 
 // Commit implements store.Store.
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -77,8 +77,8 @@
 	items          map[string]store.Item
 	graceUntil     map[string]time.Time // deleted entries that stay in use, and until when
 	deletions      []store.Event        // the newest deletions, oldest first
-	deletionsSince int64                // revision since which deletions is complete
-	revision       int64                // store revision as of which items is complete
+	deletionsSince int64                // revision of the current era since which deletions is complete
+	version        store.Version        // version of the store as of which items is complete
 	confirmedAt    time.Duration        // boot time as of which items is complete, 0 before the first list
 	sent           link.PrefixState     // the changes that were last sent to another host
 	sentSince      int64                // revision since which they are
@@ -216,19 +216,19 @@
 func (sc *storeCache) isKnown(prefix string) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.states[prefix].revision > 0
+	return sc.states[prefix].version.Revision > 0
 }
 
 func (sc *storeCache) list(ctx context.Context, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	start := sc.now()
-	items, revision, err := sc.platform.Store.List(ctx, prefix)
+	items, as, err := sc.platform.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	sc.markReachable(prefix)
-	sc.replace(link.PrefixState{Prefix: prefix, Revision: revision, Items: items}, originStore)
+	sc.replace(link.PrefixState{Prefix: prefix, Revision: as.Revision, Era: as.Era, Items: items}, originStore)
 	sc.confirm(prefix, start)
 	return nil
 }
@@ -237,7 +237,7 @@
 	sc.mu.Lock()
 	start := sc.now()
 	p := sc.states[prefix]
-	after, wait := p.revision, maxWatchWait
+	after, wait := p.version, maxWatchWait
 	if prefix == sc.platform.UpstreamPrefix {
 		wait = max(p.confirmedAt+sc.limits.Confirm-start, minWatchWait)
 	}
@@ -245,12 +245,12 @@
 		wait = probeWait
 	}
 	sc.mu.Unlock()
-	events, revision, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
+	events, as, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return err
 	}
 	sc.markReachable(prefix)
-	sc.apply(prefix, events, revision, originStore)
+	sc.apply(prefix, events, as, originStore)
 	// The response may have been read late.
 	sc.confirm(prefix, min(sc.now(), start+wait))
 	if len(events) > 0 && prefix != sc.platform.ConfigPrefix {
@@ -309,7 +309,12 @@
 func (sc *storeCache) replace(l link.PrefixState, via string) {
 	sc.mu.Lock()
 	p := sc.states[l.Prefix]
-	if p == nil || l.Revision < p.revision {
+	if p == nil {
+		sc.mu.Unlock()
+		return
+	}
+	sc.logVersion(p, l.Version(), via)
+	if l.Revision < p.version.Revision {
 		sc.mu.Unlock()
 		return
 	}
@@ -323,13 +328,13 @@
 			sc.remove(now, p, key, l.Revision, from)
 		}
 	}
-	if p.revision == 0 {
+	if p.version.Revision == 0 {
 		p.deletionsSince = l.Revision
 	}
 	for key, it := range current {
 		sc.put(p, key, it, from)
 	}
-	p.revision = l.Revision
+	p.version = l.Version()
 	sc.notify()
 	sc.mu.Unlock()
 	if l.Prefix == elect.Prefix {
@@ -338,16 +343,16 @@
 	sc.onChange()
 }
 
-func (sc *storeCache) apply(prefix string, events []store.Event, revision int64, via string) {
+func (sc *storeCache) apply(prefix string, events []store.Event, as store.Version, via string) {
 	sc.mu.Lock()
 	p := sc.states[prefix]
-	if revision <= p.revision && len(events) == 0 {
+	if as.Revision <= p.version.Revision && len(events) == 0 {
 		sc.mu.Unlock()
 		return
 	}
 	now, from := time.Now(), sc.origin(p, via)
 	for _, e := range events {
-		if e.Revision <= p.revision {
+		if e.Revision <= p.version.Revision {
 			continue
 		}
 		if e.Deleted {
@@ -356,7 +361,7 @@
 		}
 		sc.put(p, e.Key, e.Item, from)
 	}
-	p.revision = max(p.revision, revision)
+	p.version.Revision = max(p.version.Revision, as.Revision)
 	sc.notify()
 	sc.mu.Unlock()
 	if prefix == elect.Prefix {
@@ -367,6 +372,21 @@
 	}
 }
 
+// logVersion logs a list of another era than that of the copy, or of an older version.
+func (sc *storeCache) logVersion(p *prefixState, got store.Version, via string) {
+	line := sc.log.Debug()
+	message := "older list of items dropped"
+	switch {
+	case p.version.Revision > 0 && got.Era > p.version.Era:
+		line, message = sc.log.Warn(), "store restored from an older copy"
+		sc.stats.CountEvent("store_restored")
+	case got.Compare(p.version) >= 0:
+		return
+	}
+	line.Str("prefix", p.prefix).Int64("era", got.Era).Int64("revision", got.Revision).
+		Int64("known_era", p.version.Era).Int64("known_revision", p.version.Revision).Str("via", via).Msg(message)
+}
+
 // put stores and decodes a new item. An invalid configuration or host registration leaves the previous one in use; an
 // invalid upstream entry removes the upstream.
 func (sc *storeCache) put(p *prefixState, key string, it store.Item, from origin) {
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -221,7 +221,7 @@
 		transfer := func() {
 			var known []link.PrefixState
 			for _, p := range other.states {
-				known = append(known, link.PrefixState{Prefix: p.prefix, Revision: p.revision})
+				known = append(known, link.PrefixState{Prefix: p.prefix, Revision: p.version.Revision})
 			}
 			states, _, _ := sc.changes(known)
 			other.merge(states, "another host")
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -16,10 +16,10 @@
 	defer sc.mu.Unlock()
 	for _, k := range known {
 		p := sc.states[k.Prefix]
-		if p == nil || p.revision <= k.Revision {
+		if p == nil || p.version.Revision <= k.Revision {
 			continue
 		}
-		if p.sent.Revision != p.revision || p.sentSince != k.Revision {
+		if p.sent.Revision != p.version.Revision || p.sentSince != k.Revision {
 			// Most hosts ask for the same changes.
 			p.sent, p.sentSince = p.changesSince(k.Revision), k.Revision
 		}
@@ -32,7 +32,7 @@
 // known any more.
 func (p *prefixState) changesSince(revision int64) link.PrefixState {
 	l := link.PrefixState{
-		Prefix: p.prefix, Revision: p.revision, Delta: revision >= p.deletionsSince && revision > 0,
+		Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era, Delta: revision >= p.deletionsSince && revision > 0,
 	}
 	for _, it := range p.items {
 		switch {
@@ -57,7 +57,7 @@
 func (sc *storeCache) merge(states []link.PrefixState, via string) {
 	for _, l := range states {
 		if l.Delta {
-			sc.apply(l.Prefix, l.Events, l.Revision, via)
+			sc.apply(l.Prefix, l.Events, l.Version(), via)
 		} else {
 			sc.replace(l, via)
 		}
@@ -73,7 +73,7 @@
 	out := make([]link.PrefixState, 0, len(sc.states))
 	for _, p := range sc.states {
 		if p.prefix != sc.platform.ConfigPrefix || p.unreachable {
-			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.revision})
+			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era})
 		}
 	}
 	return out
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -140,24 +140,24 @@
 // Watch returns no response while the host is cut off from the store, as an open connection does that has gone silent;
 // the probes of the connection end the call after two seconds.
 func (h *fleetHost) Watch(
-	ctx context.Context, prefix string, after int64, wait time.Duration,
-) ([]store.Event, int64, error) {
+	ctx context.Context, prefix string, after store.Version, wait time.Duration,
+) ([]store.Event, store.Version, error) {
 	if strings.HasPrefix(prefix, "up/") {
 		h.watched.Store(true)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
 	defer cancel()
-	events, revision, err := h.Store.Watch(ctx, prefix, after, wait)
+	events, as, err := h.Store.Watch(ctx, prefix, after, wait)
 	if h.isolated() {
 		time.Sleep(2 * time.Second)
-		return nil, 0, store.ErrOutcomeUnknown
+		return nil, store.Version{}, store.ErrOutcomeUnknown
 	}
-	return events, revision, err
+	return events, as, err
 }
 
-func (h *fleetHost) List(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+func (h *fleetHost) List(ctx context.Context, prefix string) ([]store.Item, store.Version, error) {
 	if err := h.connect(); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
 	return h.Store.List(ctx, prefix)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -88,14 +88,15 @@
 		Token int64 `cbor:"19,keyasint,omitempty"`
 	}
 
-	// PrefixState is the state of the store below a prefix at a revision. It holds all items, or with Delta set the
-	// events since the revision that the receiver has.
+	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the events
+	// since the revision that the receiver has, which is of the same era.
 	PrefixState struct {
 		Prefix   string        `cbor:"1,keyasint"`
 		Revision int64         `cbor:"2,keyasint"`
 		Items    []store.Item  `cbor:"3,keyasint,omitempty"`
 		Delta    bool          `cbor:"4,keyasint,omitempty"`
 		Events   []store.Event `cbor:"5,keyasint,omitempty"`
+		Era      int64         `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Conn is a connection to another host. Several goroutines may send; only one may receive.
@@ -172,6 +173,9 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
+// Version returns the version of the state.
+func (s *PrefixState) Version() store.Version { return store.Version{Era: s.Era, Revision: s.Revision} }
+
 // NewConn returns a connection to another host over an established transport.
 func NewConn(nc net.Conn) *Conn {
 	return &Conn{nc: nc, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(nc)}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -21,6 +22,13 @@
 )
 
 type (
+	// Version is a state of the store. Revisions are comparable only within one era: each time the store comes back from
+	// an older copy, its era rises, and revisions that the copy does not have are given out again.
+	Version struct {
+		Era      int64 // 0 if the store states none
+		Revision int64
+	}
+
 	// Item is a key with its value and the revision of its last write; Lease is 0 for a key without a lease.
 	Item struct {
 		Key      string
@@ -50,11 +58,11 @@
 
 	// Store is a key-value service. Methods return the errors of this package; implementations count every call.
 	Store interface {
-		// List returns the items with that prefix and the revision to pass to Watch.
-		List(ctx context.Context, prefix string) (items []Item, revision int64, err error)
-		// Watch returns the changes after the revision and the revision to continue from; it returns no changes if none
+		// List returns the items with that prefix and the version to pass to Watch.
+		List(ctx context.Context, prefix string) (items []Item, as Version, err error)
+		// Watch returns the changes after a version and the version to continue from; it returns no changes if none
 		// happen within wait.
-		Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+		Watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
 		// Commit executes the transaction and returns the revision of the change.
 		Commit(ctx context.Context, t Txn) (int64, error)
 		// Grant creates a lease that expires ttl after its last renewal.
@@ -65,3 +73,8 @@
 		Revoke(ctx context.Context, lease int64) error
 	}
 )
+
+// Compare returns -1 if v is older than o, 1 if it is newer, and 0 if they are equal.
+func (v Version) Compare(o Version) int {
+	return cmp.Or(cmp.Compare(v.Era, o.Era), cmp.Compare(v.Revision, o.Revision))
+}
--- a/internal/store/stub/store.go
+++ b/internal/store/stub/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -23,9 +24,11 @@
 	LoseResponse func(kind string) bool
 
 	mu          sync.Mutex
+	era         int64
 	revision    int64
 	items       map[string]store.Item
 	leases      map[int64]*lease
+	lastLease   int64
 	nextExpiry  time.Time // no lease expires before it
 	events      []store.Event
 	compactedTo int64 // events up to this revision are dropped
@@ -33,10 +36,20 @@
 	changed     chan struct{} // closed at the next change of the items or of the faults
 }
 
-type lease struct {
-	ttl time.Duration
-	end time.Time
-}
+type (
+	// Copy is a copy of the items and leases of a store.
+	Copy struct {
+		revision  int64
+		items     map[string]store.Item
+		leases    map[int64]lease
+		lastLease int64
+	}
+
+	lease struct {
+		ttl time.Duration
+		end time.Time
+	}
+)
 
 // Do runs f while no call is in progress.
 func (s *Store) Do(f func()) {
@@ -70,6 +83,38 @@
 	s.events, s.compactedTo = nil, s.revision
 }
 
+// Copy returns a copy of the current state.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.expireLeases()
+	c := &Copy{
+		revision: s.revision, items: maps.Clone(s.items), leases: make(map[int64]lease), lastLease: s.lastLease,
+	}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the state by an earlier one and starts a new era. Revisions and leases that the copy does not have
+// are given out again. The leases in the copy expire as if they had been renewed now.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.era++
+	s.revision, s.items, s.lastLease = c.revision, maps.Clone(c.items), c.lastLease
+	s.leases, s.nextExpiry = make(map[int64]*lease), time.Time{}
+	for id, l := range c.leases {
+		s.leases[id] = &lease{ttl: l.ttl, end: time.Now().Add(l.ttl)}
+	}
+	s.events = slices.DeleteFunc(s.events, func(e store.Event) bool { return e.Revision > s.revision })
+	s.compactedTo = min(s.compactedTo, s.revision)
+	s.notify()
+}
+
 // Calls returns the number of calls of one kind, rejected ones included.
 func (s *Store) Calls(kind string) int {
 	s.mu.Lock()
@@ -86,7 +131,7 @@
 }
 
 // List implements store.Store.
-func (s *Store) List(_ context.Context, prefix string) (list []store.Item, revision int64, err error) {
+func (s *Store) List(_ context.Context, prefix string) (list []store.Item, as store.Version, err error) {
 	err = s.call("list", func() error {
 		for _, it := range s.items {
 			if strings.HasPrefix(it.Key, prefix) {
@@ -94,47 +139,56 @@
 			}
 		}
 		slices.SortFunc(list, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
-		revision = s.revision
+		as = s.version()
 		return nil
 	})
-	return list, revision, err
+	return list, as, err
 }
 
 // Watch implements store.Store.
 func (s *Store) Watch(
-	ctx context.Context, prefix string, after int64, wait time.Duration,
-) (list []store.Event, revision int64, err error) {
+	ctx context.Context, prefix string, after store.Version, wait time.Duration,
+) (list []store.Event, as store.Version, err error) {
 	until := time.Now().Add(wait)
 	first := true
+	var era int64
 	for {
 		// The first check is counted as a call of kind watch, each later one as a call of kind look.
 		kind := "look"
+		var changed chan struct{}
 		if first {
-			kind, first = "watch", false
+			kind = "watch"
 		}
-		var changed chan struct{}
 		err = s.call(kind, func() error {
 			changed = s.changed
-			if after < s.compactedTo {
+			if first {
+				era = s.era
+			}
+			switch {
+			case s.era != era:
+				// The connections of before a restore are cut.
+				return store.ErrOutcomeUnknown
+			case after.Revision < s.compactedTo || after.Revision > s.revision:
 				return store.ErrCompacted
 			}
-			first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > after })
+			first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > after.Revision })
 			for _, e := range s.events[first:] {
 				if strings.HasPrefix(e.Key, prefix) {
 					list = append(list, e)
 				}
 			}
-			revision = s.revision
+			as = s.version()
 			return nil
 		})
 		if err != nil || len(list) > 0 || !time.Now().Before(until) {
-			return list, revision, err
+			return list, as, err
 		}
+		first = false
 		select {
 		case <-changed:
 		case <-time.After(watchPollInterval):
 		case <-ctx.Done():
-			return nil, 0, store.ErrOutcomeUnknown
+			return nil, store.Version{}, store.ErrOutcomeUnknown
 		}
 	}
 }
@@ -167,7 +221,8 @@
 // Grant implements store.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (id int64, err error) {
 	err = s.call("grant", func() error {
-		id = int64(len(s.calls) + s.calls["grant"]*1000)
+		s.lastLease++
+		id = s.lastLease
 		l := &lease{ttl: ttl, end: time.Now().Add(ttl)}
 		s.leases[id] = l
 		if l.end.Before(s.nextExpiry) {
@@ -231,6 +286,8 @@
 	}
 }
 
+func (s *Store) version() store.Version { return store.Version{Era: s.era, Revision: s.revision} }
+
 // notify wakes the waiting watches.
 func (s *Store) notify() {
 	close(s.changed)
