Order the state of the store by era and revision

Hosts called the store 100 times as often. Cause: a host kept the list with the higher revision. After a restore every list has a lower one; it was dropped, the next watch got 410, and so on without a pause, while the copy counted as confirmed. Changes that hosts send each other went by the revision alone as well. Change: a version is the era and the revision. A list of a newer era replaces the copy, and so it does between hosts; a watch or a set of changes of another era is not applied. What only the older copy says is not believed: an instance that was leaving still is, an entry that was removed is not used until it is written again or has stayed for 5 s, and entries that the copy lacks stay in use for the grace period, until their owners write them again. Configurations went by version number already. A watch that fails again and again after lists is paused like any failed call. Ruled out: the store does not write again what was lost (a host without state had the newest version), and watches that go on across a restore (they are cut, or get 410).

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -30,6 +30,8 @@
 	probeWait = 50 * time.Millisecond
 	// maxFailures is the number of consecutive failed calls after which the store counts as unreachable.
 	maxFailures = 2
+	// maxLists is the number of consecutive lists without a backoff whose history the store does not have.
+	maxLists = 2
 	// initialBackoff is the backoff after a failed call to the store.
 	initialBackoff = 100 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch call for upstreams.
@@ -64,6 +66,7 @@
 	upstreams   map[string]*topo.Upstream
 	hosts       map[string]topo.Host
 	lapsed      map[string]time.Duration // boot times at which registrations ended
+	ended       map[string]endedUpstream // upstreams whose entries were removed lately
 	hostsChange int                      // number of changes of hosts
 	outageAt    time.Duration            // boot time at which an outage was last confirmed, 0 if there is none
 	outageEnd   time.Duration            // boot time at which the copy was first confirmed after an outage, 0 before
@@ -76,12 +79,13 @@
 	prefix         string
 	items          map[string]store.Item
 	graceUntil     map[string]time.Time // deleted entries that stay in use, and until when
+	suspects       map[string]time.Time // entries that are not in use because they may be older, and until when
 	deletions      []store.Event        // the newest deletions, oldest first
 	deletionsSince int64                // revision of the current era since which deletions is complete
 	version        store.Version        // version of the store as of which items is complete
 	confirmedAt    time.Duration        // boot time as of which items is complete, 0 before the first list
 	sent           link.PrefixState     // the changes that were last sent to another host
-	sentSince      int64                // revision since which they are
+	sentSince      store.Version        // version since which they are
 	failures       int                  // consecutive failed calls for this prefix
 	unreachable    bool                 // the last calls for this prefix failed
 }
@@ -92,12 +96,13 @@
 	sc := &storeCache{
 		platform: p, limits: limits, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host),
-		lapsed: make(map[string]time.Duration), nextChange: make(chan struct{}), retryNow: make(chan struct{}),
+		lapsed: make(map[string]time.Duration), ended: make(map[string]endedUpstream), nextChange: make(chan struct{}), retryNow: make(chan struct{}),
 		now: clock.SinceBoot,
 	}
 	for _, prefix := range sc.prefixes() {
 		sc.states[prefix] = &prefixState{
 			prefix: prefix, items: make(map[string]store.Item), graceUntil: make(map[string]time.Time),
+			suspects: make(map[string]time.Time),
 		}
 	}
 	return sc
@@ -111,7 +116,7 @@
 // other hosts send the state and its changes.
 func (sc *storeCache) run(ctx context.Context, prefix string, watchesStore func() bool) {
 	pause := initialBackoff
-	compacted := false
+	listAgain, lists := false, 0
 	for ctx.Err() == nil {
 		if !watchesStore() {
 			sc.stopCalls(prefix)
@@ -119,24 +124,32 @@
 			continue
 		}
 		var err error
-		if !compacted && sc.isKnown(prefix) {
+		watching := !listAgain && sc.isKnown(prefix)
+		if watching {
 			err = sc.watch(ctx, prefix)
 		} else {
 			err = sc.list(ctx, prefix)
 		}
 		if err == nil {
-			compacted, pause = false, initialBackoff
+			listAgain = false
+			if watching {
+				lists, pause = 0, initialBackoff
+			}
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			sc.log.Info().Str("prefix", prefix).Msg("store history compacted, listing all items")
-			compacted = true
-			continue
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
+			sc.log.Info().Err(err).Str("prefix", prefix).Msg("listing all items of the store")
+			listAgain = true
+			lists++
+			if lists <= maxLists {
+				continue
+			}
+		} else {
+			sc.markFailed(prefix, err)
 		}
-		sc.markFailed(prefix, err)
 		sc.backOff(ctx, prefix, pause)
 		pause = min(2*pause, sc.maxBackoff())
 	}
@@ -250,6 +263,9 @@
 		return err
 	}
 	sc.markReachable(prefix)
+	if as.Era != after.Era {
+		return store.ErrRestored
+	}
 	sc.apply(prefix, events, as, originStore)
 	// The response may have been read late.
 	sc.confirm(prefix, min(sc.now(), start+wait))
@@ -305,7 +321,7 @@
 	return false
 }
 
-// replace replaces all items of a prefix unless the cache has a newer revision.
+// replace replaces all items of a prefix unless the cache has a newer version.
 func (sc *storeCache) replace(l link.PrefixState, via string) {
 	sc.mu.Lock()
 	p := sc.states[l.Prefix]
@@ -314,10 +330,14 @@
 		return
 	}
 	sc.logVersion(p, l.Version(), via)
-	if l.Revision < p.version.Revision {
+	if l.Version().Compare(p.version) < 0 {
 		sc.mu.Unlock()
 		return
 	}
+	restored := p.version.Revision > 0 && l.Era > p.version.Era
+	if restored {
+		p.startEra(l.Revision)
+	}
 	now, from := time.Now(), sc.origin(p, via)
 	current := make(map[string]store.Item, len(l.Items))
 	for _, it := range l.Items {
@@ -325,13 +345,17 @@
 	}
 	for key := range p.items {
 		if _, ok := current[key]; !ok {
-			sc.remove(now, p, key, l.Revision, from)
+			sc.remove(now, p, key, l.Revision, from, restored)
 		}
 	}
 	if p.version.Revision == 0 {
 		p.deletionsSince = l.Revision
 	}
 	for key, it := range current {
+		if restored {
+			sc.putCopied(now, p, key, it, from)
+			continue
+		}
 		sc.put(p, key, it, from)
 	}
 	p.version = l.Version()
@@ -346,7 +370,7 @@
 func (sc *storeCache) apply(prefix string, events []store.Event, as store.Version, via string) {
 	sc.mu.Lock()
 	p := sc.states[prefix]
-	if as.Revision <= p.version.Revision && len(events) == 0 {
+	if as.Era != p.version.Era || as.Revision <= p.version.Revision && len(events) == 0 {
 		sc.mu.Unlock()
 		return
 	}
@@ -356,7 +380,7 @@
 			continue
 		}
 		if e.Deleted {
-			sc.remove(now, p, e.Key, e.Revision, from)
+			sc.remove(now, p, e.Key, e.Revision, from, false)
 			continue
 		}
 		sc.put(p, e.Key, e.Item, from)
@@ -387,14 +411,20 @@
 		Int64("known_era", p.version.Era).Int64("known_revision", p.version.Revision).Str("via", via).Msg(message)
 }
 
-// put stores and decodes a new item. An invalid configuration or host registration leaves the previous one in use; an
-// invalid upstream entry removes the upstream.
+// put stores a new item and puts it into use.
 func (sc *storeCache) put(p *prefixState, key string, it store.Item, from origin) {
 	if old, ok := p.items[key]; ok && old.Revision == it.Revision {
 		return
 	}
 	p.items[key] = it
 	delete(p.graceUntil, key)
+	delete(p.suspects, key)
+	sc.use(p, key, it, from)
+}
+
+// use decodes an item and puts it into use. An invalid configuration or host registration leaves the previous one in
+// use; an invalid upstream entry removes the upstream.
+func (sc *storeCache) use(p *prefixState, key string, it store.Item, from origin) {
 	switch p.prefix {
 	case sc.platform.ConfigPrefix:
 		c, err := sc.platform.Config(it)
@@ -418,6 +448,7 @@
 		}
 		u.Revision = it.Revision
 		sc.upstreams[key] = u
+		delete(sc.ended, key)
 	default:
 		if !strings.HasPrefix(key, elect.HostPrefix) {
 			return
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -16,23 +16,25 @@
 	defer sc.mu.Unlock()
 	for _, k := range known {
 		p := sc.states[k.Prefix]
-		if p == nil || p.version.Revision <= k.Revision {
+		if p == nil || p.version.Compare(k.Version()) <= 0 {
 			continue
 		}
-		if p.sent.Revision != p.version.Revision || p.sentSince != k.Revision {
+		if p.sent.Version() != p.version || p.sentSince != k.Version() {
 			// Most hosts ask for the same changes.
-			p.sent, p.sentSince = p.changesSince(k.Revision), k.Revision
+			p.sent, p.sentSince = p.changesSince(k.Version()), k.Version()
 		}
 		out = append(out, p.sent)
 	}
 	return out, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
 }
 
-// changesSince returns the changes of the prefix since a revision, or all items if the deletions since then are not
-// known any more.
-func (p *prefixState) changesSince(revision int64) link.PrefixState {
+// changesSince returns the changes of the prefix since a version, or all items if that is of another era or the deletions
+// since then are not known any more.
+func (p *prefixState) changesSince(v store.Version) link.PrefixState {
+	revision := v.Revision
 	l := link.PrefixState{
-		Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era, Delta: revision >= p.deletionsSince && revision > 0,
+		Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era,
+		Delta: v.Era == p.version.Era && revision >= p.deletionsSince && revision > 0,
 	}
 	for _, it := range p.items {
 		switch {
--- a/internal/host/grace.go
+++ b/internal/host/grace.go
@@ -36,16 +36,19 @@
 }
 
 // remove deletes an item. Its upstream or host is discarded at once, or after gracePeriod if the store had an outage
-// until a moment ago.
-func (sc *storeCache) remove(now time.Time, p *prefixState, key string, revision int64, from origin) {
+// until a moment ago or has been restored.
+func (sc *storeCache) remove(
+	now time.Time, p *prefixState, key string, revision int64, from origin, restored bool,
+) {
 	delete(p.items, key)
+	delete(p.suspects, key)
 	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
 	if n := len(p.deletions) - maxDeletions; n > 0 {
-		p.deletionsSince = p.deletions[n-1].Revision
+		p.deletionsSince = max(p.deletionsSince, p.deletions[n-1].Revision)
 		p.deletions = append(p.deletions[:0], p.deletions[n:]...)
 	}
 	afterOutage := sc.inOutage() || sc.outageEnd > 0 && sc.now()-sc.outageEnd < graceWindow
-	if afterOutage && p.prefix != sc.platform.ConfigPrefix {
+	if (afterOutage || restored) && p.prefix != sc.platform.ConfigPrefix {
 		p.graceUntil[key] = now.Add(gracePeriod)
 		sc.log.Info().Str("key", key).Str("via", from.via).Dur("age_ms", from.age).
 			Msg("expired entry stays in use for a while")
@@ -58,6 +61,7 @@
 	if u := sc.upstreams[key]; u != nil {
 		sc.log.Info().Str("upstream", u.ID).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream removed")
 		delete(sc.upstreams, key)
+		sc.addEnded(key, u.Boot)
 	}
 	if _, ok := sc.hosts[key]; ok {
 		delete(sc.hosts, key)
@@ -66,7 +70,8 @@
 	}
 }
 
-// expireGrace discards upstreams and hosts whose grace period is over.
+// expireGrace discards upstreams and hosts whose grace period is over, and puts suspect entries into use that are still
+// in the store.
 func (sc *storeCache) expireGrace(now time.Time) {
 	changed := false
 	sc.mu.Lock()
@@ -78,6 +83,7 @@
 				changed = true
 			}
 		}
+		changed = sc.trustSuspects(now, p) || changed
 	}
 	sc.mu.Unlock()
 	if changed {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,6 +11,9 @@
 var (
 	// ErrCompacted means that the store has compacted the history after the requested revision; list the keys again.
 	ErrCompacted = errors.New("history after the requested revision was compacted")
+	// ErrRestored means that the store has come back from an older copy since the era that a call refers to; list the
+	// keys again.
+	ErrRestored = errors.New("the store has come back from an older copy")
 	// ErrNotExecuted means that the call was not sent, or that the store rejected it: nothing was executed.
 	ErrNotExecuted = errors.New("call not executed by the store")
 	// ErrOutcomeUnknown means that no complete response arrived: a write may have been executed.
