Bind leases, conditions, tokens and leader records to the era of the store

A lease whose number the restored store gave to another host was renewed and held keys of the wrong owner; the record of a leader was gone, so its successor did not wait for it; a new leader's fencing token, a revision, was lower than the old one's. Change: leases and transactions carry their era, and the client refuses those of an earlier one. A host gives up lease, registration and leadership with the first response of a new era. The leader record names the era since which it is complete; a new leader that may lack a record waits as for a silent one, and longer if an unknown leader may not know of it. A host that led until the restore removes its old key and leads again at once. Tokens have the era as their upper part. The leader also needs promises of hosts that the copy lacks. A host learns from the platform's settings (bootstrap) whether a missing record was lost.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -32,7 +32,7 @@
 		return 0, false
 	}
 	delay := time.Duration(0)
-	if e.lastLeader.Host != e.Self.Name {
+	if _, unknown := e.earlierLeaders(now); unknown || e.lastLeader.Host != e.Self.Name {
 		delay = e.rankedDelay(e.Rank(e.lastLeader.Host))
 	}
 	return e.vacantSince + delay - now, true
@@ -58,14 +58,19 @@
 }
 
 // campaign tries to write the leader key and the leader record.
-func (e *Elector) campaign(ctx context.Context, lease int64) time.Duration {
+func (e *Elector) campaign(ctx context.Context, lease store.Lease) time.Duration {
 	e.mu.Lock()
 	last, revision := e.lastLeader.Host, e.recordRevision
-	earlier := e.lastLeader.others(e.Self.Name)
-	self := Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: e.nonce, After: earlier}
+	earlier, unknown := e.earlierLeaders(e.now())
+	self := Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: e.nonce, Era: e.era.number, After: earlier}
+	if unknown {
+		self.Era = e.lastLeader.Era
+	}
+	era := e.era.number
 	// ordersFrom is set before the write, because its response may be lost and the watch may report the new leader
 	// first.
-	e.ordersFrom, e.handover = e.takeoverTime(earlier), handover{silent: earlier, unsettled: len(earlier) > 0}
+	e.ordersFrom = e.takeoverTime(earlier, unknown)
+	e.handover = handover{silent: earlier, unknown: unknown, unsettled: len(earlier) > 0 || unknown}
 	e.mu.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -75,21 +80,27 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// The condition on the record rejects a write that is executed late, after yet another leader.
-	rev, err := e.Store.Commit(ctx, store.Txn{
+	as, err := e.Store.Commit(ctx, store.Txn{
+		Era:  era,
 		If:   []store.Condition{{Key: leaderKey}, {Key: leaderRecordKey, Revision: revision}},
-		Puts: []store.Item{{Key: leaderKey, Value: value, Lease: lease}, {Key: leaderRecordKey, Value: value}},
+		Puts: []store.Item{{Key: leaderKey, Value: value, Lease: lease.ID}, {Key: leaderRecordKey, Value: value}},
 	})
 	switch {
 	case errors.Is(err, store.ErrConflict):
 		return retryDelay
+	case errors.Is(err, store.ErrRestored):
+		e.mu.Lock()
+		e.lease = store.Lease{}
+		e.mu.Unlock()
+		return 0
 	case err != nil:
 		e.Log.Warn().Err(err).Msg("failed to become leader")
 		return retryDelay
 	}
 	e.mu.Lock()
-	changed := e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease, Revision: rev})
+	changed := e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease.ID, Revision: as.Revision})
 	e.mu.Unlock()
-	e.Log.Info().Int64("token", rev).Str("last", last).Msg("became leader")
+	e.Log.Info().Int64("token", fencingToken(as)).Str("last", last).Msg("became leader")
 	if changed {
 		e.LeadershipChanged(true)
 	}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/figreel/figreel/internal/clock"
@@ -47,6 +46,8 @@
 		Log   zerolog.Logger
 		// HandoverDelay is the minimum time between an order of one leader and the first order of the next.
 		HandoverDelay time.Duration
+		// HasRun states that the system has run before this host started, so that there has been a leader record.
+		HasRun bool
 		// Rank returns this host's position among the live hosts, from 0; prev is the host name of the previous leader.
 		Rank func(prev string) int
 		// RequestStepDown asks an earlier leader to step down for this one, and returns a lower bound of the time since
@@ -69,11 +70,14 @@
 		wake chan struct{}
 		mu   sync.Mutex
 		// The fields below are guarded by mu.
-		lease           int64
+		lease           store.Lease   // ID 0 if there is none
 		leaseEnd        time.Duration // boot time at which the lease expires
 		registered      bool
 		registeredSince time.Duration // boot time at which the registration under this lease was confirmed
+		registeredAs    store.Version // version of the store with the registration
+		stillRegistered bool          // registered in an earlier era, to be registered again
 		leaving         bool          // Leave was called
+		era             eraState
 		storeFailing    bool          // the last call for the lease failed
 		failures        int           // consecutive failures of calls for the lease
 		retryAt         time.Duration // boot time before which no call for the lease is made
@@ -100,6 +104,8 @@
 		Host  string `json:"host"`
 		Link  string `json:"link"` // address for other hosts
 		Nonce string `json:"nonce"`
+		// Era is the first era of the store since which the record names all leaders whose orders may not have ended.
+		Era int64 `json:"era,omitempty"`
 		// After are the earlier leaders on other hosts whose orders may not have ended.
 		After []Leader `json:"after,omitempty"`
 	}
@@ -252,7 +258,7 @@
 	if wasLeader {
 		e.LeadershipChanged(false)
 	}
-	if lease == 0 {
+	if lease.ID == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -262,10 +268,17 @@
 	}
 }
 
-// Replace sets the state from a list of all keys with Prefix.
-func (e *Elector) Replace(items []store.Item) {
+// Replace sets the state from a list of all keys with Prefix at a version of the store.
+func (e *Elector) Replace(as store.Version, items []store.Item) {
 	var leader, own *store.Item
+	promised := e.promisedUntil()
 	e.mu.Lock()
+	if e.era.known && as.Era < e.era.number {
+		e.mu.Unlock()
+		return
+	}
+	changed := e.enterEra(as.Era, promised)
+	e.lastLeader, e.recordRevision = Leader{}, 0
 	for i := range items {
 		switch items[i].Key {
 		case leaderKey:
@@ -276,16 +289,23 @@
 			own = &items[i]
 		}
 	}
-	e.applyRegistration(own)
-	changed := e.applyLeader(leader)
+	e.checkCopy(own)
+	if !e.registered || as.Compare(e.registeredAs) >= 0 {
+		e.applyRegistration(own)
+	}
+	changed = e.applyLeader(leader) || changed
 	e.mu.Unlock()
 	e.notify(changed)
 }
 
-// Apply applies changes of keys with Prefix.
-func (e *Elector) Apply(events []store.Event) {
+// Apply applies changes of keys with Prefix in an era of the store.
+func (e *Elector) Apply(era int64, events []store.Event) {
 	changed := false
 	e.mu.Lock()
+	if era != e.era.number {
+		e.mu.Unlock()
+		return
+	}
 	for i := range events {
 		ev := &events[i]
 		it := &ev.Item
@@ -337,16 +357,26 @@
 // applyRegistration applies this host's registration in the store. It confirms a registration whose response was lost,
 // and drops the lease if the registration was removed although the lease seems valid.
 func (e *Elector) applyRegistration(it *store.Item) {
-	if it != nil && e.lease != 0 && it.Lease == e.lease {
-		if !e.registered {
-			e.registered, e.registeredSince = true, e.now()
-		}
+	if it != nil && e.lease.ID != 0 && it.Lease == e.lease.ID {
+		e.confirmRegistration()
 		return
 	}
-	if e.registered && (it == nil || it.Lease != e.lease) {
+	if e.registered && (it == nil || it.Lease != e.lease.ID) {
 		e.registered = false
-		e.lease = 0
+		e.lease = store.Lease{}
+	}
+}
+
+// confirmRegistration records that the registration is in the store. The caller holds e.mu.
+func (e *Elector) confirmRegistration() {
+	if e.registered {
+		return
 	}
+	e.registered = true
+	if !e.stillRegistered || e.now() > e.era.since+registerTime {
+		e.registeredSince = e.now()
+	}
+	e.stillRegistered = false
 }
 
 // applyLeader applies the state of the leader key, and reports whether this host became leader or lost the leadership.
@@ -356,7 +386,7 @@
 	if it == nil {
 		if e.current != nil || e.vacantSince == 0 {
 			e.vacantSince = e.now()
-			if len(e.lastLeader.After) == 0 || e.firstVacancy == 0 {
+			if len(e.lastLeader.After) == 0 && !e.era.pending || e.firstVacancy == 0 {
 				e.firstVacancy = e.vacantSince
 			}
 		}
@@ -364,7 +394,7 @@
 		return fence != 0
 	}
 	e.current = it
-	if t := decodeLeader(it.Value); t.Nonce != e.nonce || it.Lease != e.lease || e.leaving {
+	if t := decodeLeader(it.Value); t.Nonce != e.nonce || it.Lease != e.lease.ID || e.leaving {
 		e.fence = 0
 		return fence != 0
 	}
@@ -375,7 +405,7 @@
 	// of a write its own revision. The revision seen first stays the fencing token, also if an older copy of the store
 	// has ended the leadership for a moment.
 	if e.tokenNonce != e.nonce {
-		e.tokenNonce, e.token = e.nonce, it.Revision
+		e.tokenNonce, e.token = e.nonce, fencingToken(store.Version{Era: e.era.number, Revision: it.Revision})
 	}
 	e.fence = e.token
 	return true
@@ -385,6 +415,7 @@
 func (e *Elector) step(ctx context.Context) time.Duration {
 	e.mu.Lock()
 	leaving, lease, registered, until, retryAt := e.leaving, e.lease, e.registered, e.leaseEnd, e.retryAt
+	outdated := e.holdsOutdatedKey()
 	e.mu.Unlock()
 	now := e.now()
 	switch {
@@ -392,13 +423,16 @@
 		return renewInterval
 	case now < retryAt:
 		return retryAt - now
-	case lease == 0 || now >= until:
+	case lease.ID == 0 || now >= until:
 		return e.grantLease(ctx)
 	case !registered:
 		return e.register(ctx, lease)
 	case now >= until-leaseTime+renewInterval:
 		return e.renew(ctx, lease)
 	}
+	if outdated {
+		return e.removeOutdatedKey(ctx)
+	}
 	if wait, due := e.campaignDelay(now); due {
 		if wait <= 0 {
 			return e.campaign(ctx, lease)
@@ -410,19 +444,22 @@
 
 // grantLease obtains a new lease, which ends any leadership under the old one.
 func (e *Elector) grantLease(ctx context.Context) time.Duration {
-	start := e.now()
+	start, promised := e.now(), e.promisedUntil()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	id, err := e.Store.Grant(ctx, leaseTime)
+	granted, err := e.Store.Grant(ctx, leaseTime)
 	pause := e.leaseCalled(err)
 	if err != nil {
 		e.Log.Warn().Err(err).Msg("failed to obtain a lease from the store")
 		return pause
 	}
 	e.mu.Lock()
-	e.lease, e.leaseEnd, e.registered = id, start+leaseTime, false
-	lost := e.fence != 0
-	e.fence = 0
+	lost := e.enterEra(granted.Era, promised) || e.fence != 0
+	if granted.Era < e.era.number {
+		e.mu.Unlock()
+		return 0
+	}
+	e.lease, e.leaseEnd, e.registered, e.fence = granted, start+leaseTime, false, 0
 	e.nonce = newNonce()
 	e.mu.Unlock()
 	if lost {
@@ -431,7 +468,7 @@
 	return 0
 }
 
-func (e *Elector) register(ctx context.Context, lease int64) time.Duration {
+func (e *Elector) register(ctx context.Context, lease store.Lease) time.Duration {
 	value, err := json.Marshal(e.Self)
 	if err != nil {
 		e.Log.Error().Err(err).Msg("failed to encode registration")
@@ -439,32 +476,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = e.Store.Commit(ctx, store.Txn{Puts: []store.Item{
-		{Key: HostPrefix + e.Self.Name, Value: value, Lease: lease},
+	as, err := e.Store.Commit(ctx, store.Txn{Era: lease.Era, Puts: []store.Item{
+		{Key: HostPrefix + e.Self.Name, Value: value, Lease: lease.ID},
 	}})
-	gone := errors.Is(err, store.ErrLeaseGone)
+	gone := leaseLost(err)
 	pause := e.leaseCalled(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case err == nil:
-		if e.lease == lease && !e.registered {
-			e.registered, e.registeredSince = true, e.now()
+		if e.lease == lease {
+			e.registeredAs = as
+			e.confirmRegistration()
 		}
 		return 0
 	case gone:
-		e.lease = 0
+		e.lease = store.Lease{}
 	}
 	e.Log.Warn().Err(err).Msg("failed to register host")
 	return pause
 }
 
-func (e *Elector) renew(ctx context.Context, lease int64) time.Duration {
+func (e *Elector) renew(ctx context.Context, lease store.Lease) time.Duration {
 	start := e.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := e.Store.Renew(ctx, lease)
-	gone := errors.Is(err, store.ErrLeaseGone)
+	gone := leaseLost(err)
 	pause := e.leaseCalled(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -474,7 +512,7 @@
 		e.leaseEnd = start + leaseTime
 		return 0
 	case gone:
-		e.lease = 0
+		e.lease = store.Lease{}
 	}
 	e.Log.Warn().Err(err).Msg("failed to renew lease")
 	return pause
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -38,23 +38,23 @@
 	h *host
 }
 
-func (s partitionableStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
+func (s partitionableStore) Commit(ctx context.Context, t store.Txn) (store.Version, error) {
 	if s.h.isPartitioned() {
-		return 0, store.ErrOutcomeUnknown
+		return store.Version{}, store.ErrOutcomeUnknown
 	}
 	return s.Store.Commit(ctx, t)
 }
 
-func (s partitionableStore) Renew(ctx context.Context, id int64) error {
+func (s partitionableStore) Renew(ctx context.Context, l store.Lease) error {
 	if s.h.isPartitioned() {
 		return store.ErrOutcomeUnknown
 	}
-	return s.Store.Renew(ctx, id)
+	return s.Store.Renew(ctx, l)
 }
 
-func (s partitionableStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (s partitionableStore) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if s.h.isPartitioned() {
-		return 0, store.ErrOutcomeUnknown
+		return store.Lease{}, store.ErrOutcomeUnknown
 	}
 	return s.Store.Grant(ctx, ttl)
 }
@@ -78,10 +78,18 @@
 
 // start starts a host and its watch of the store.
 func start(ctx context.Context, s *stub.Store, name string, rank int, stepDown func() (time.Duration, error)) *host {
+	return startIn(ctx, s, name, rank, false, stepDown)
+}
+
+// startIn starts a host of a system that has run before or has not.
+func startIn(
+	ctx context.Context, s *stub.Store, name string, rank int, hasRun bool, stepDown func() (time.Duration, error),
+) *host {
 	h := &host{}
 	started := time.Now()
 	h.Elector = &elect.Elector{
 		Self: topo.Host{Name: name}, Store: partitionableStore{s, h}, Log: zerolog.Nop(), HandoverDelay: handoverDelay,
+		HasRun:          hasRun,
 		Rank:            func(string) int { return rank },
 		RequestStepDown: func(context.Context, elect.Leader, elect.Term) (time.Duration, error) { return stepDown() },
 		Now: func() time.Duration {
@@ -111,17 +119,17 @@
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
-				h.Replace(items)
+				h.Replace(r, items)
 				rev, listed = r, true
 				continue
 			}
 			events, r, err := s.Watch(ctx, elect.Prefix, rev, 100*time.Millisecond)
-			if err != nil {
+			if err != nil || r.Era != rev.Era {
 				listed = false
 				continue
 			}
 			rev = r
-			h.Apply(events)
+			h.Apply(r.Era, events)
 		}
 	}()
 	return h
@@ -301,19 +309,19 @@
 		a := start(ctx, s, "a", 0, noResponse)
 		time.Sleep(time.Second)
 		term, leads := a.Term()
-		items, _, err := s.List(ctx, elect.Prefix)
+		items, as, err := s.List(ctx, elect.Prefix)
 		if err != nil || !leads {
 			t.Fatalf("a leads: %v, list: %v", leads, err)
 		}
 		a.setPartitioned(true)
-		a.Replace(slices.DeleteFunc(slices.Clone(items), func(it store.Item) bool { return it.Key == "figreel/seat" }))
+		a.Replace(as, slices.DeleteFunc(slices.Clone(items), func(it store.Item) bool { return it.Key == "figreel/seat" }))
 		if a.maySendOrders() {
 			t.Error("a may send orders although its leader key is missing")
 		}
 		for i := range items {
 			items[i].Revision-- // as if the response to the write had another revision than the key
 		}
-		a.Replace(items)
+		a.Replace(as, items)
 		if token, ok := a.Fence(); !ok || token != term.Token {
 			t.Errorf("fencing token %d, %v after %d", token, ok, term.Token)
 		}
@@ -323,9 +331,100 @@
 		if _, ok := a.StepDown(elect.Term{Nonce: "later", Token: term.Token + 1}); !ok {
 			t.Error("a has not stepped down for a later leader")
 		}
-		a.Replace(items)
+		a.Replace(as, items)
 		if a.maySendOrders() {
 			t.Error("a may send orders after it has stepped down")
 		}
 	})
 }
+
+// Guards against hosts that keep a lease, a registration or a leadership that the store has lost in a restore, against a
+// leader that waits although it led until then, and against a lower fencing token after a higher one.
+func TestRestoredStore(t *testing.T) {
+	const backIn = 1500 * time.Millisecond
+	silent := func(*host) (time.Duration, error) { return noResponse() }
+	for _, tt := range []struct {
+		name string
+		age  time.Duration // of the copy
+	}{
+		{"the copy has all records", time.Second},
+		{"the copy has lost everything", 2 * registrationTime},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer stopHosts(cancel)
+				s := &stub.Store{}
+				empty := s.Copy()
+				a := start(ctx, s, "a", 0, noResponse)
+				time.Sleep(400 * time.Millisecond)
+				b := start(ctx, s, "b", 1, func() (time.Duration, error) { return silent(a) })
+				time.Sleep(registrationTime)
+				older := s.Copy()
+				if tt.age > registrationTime {
+					older = empty
+				}
+				time.Sleep(min(tt.age, time.Second))
+				before, _ := a.Fence()
+				s.Restore(older)
+				// Another client gets the lease IDs and revisions that hosts had.
+				foreign, err := s.Grant(ctx, time.Hour)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(backIn)
+				for _, name := range []string{"a", "b"} {
+					if s.Value(elect.HostPrefix+name) == "" {
+						t.Errorf("%s is not registered", name)
+					}
+				}
+				if after, ok := a.Fence(); !ok || after <= before {
+					t.Errorf("fencing token of a %d, %v after %d", after, ok, before)
+				}
+				if b.maySendOrders() {
+					t.Error("b may send orders")
+				}
+				if err := s.Revoke(ctx, foreign); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				if s.Value(elect.HostPrefix+"a") == "" || !a.maySendOrders() {
+					t.Error("a depends on the lease of another client")
+				}
+			})
+		})
+	}
+}
+
+// Guards against orders of a new leader while one of whose record the restored store knows nothing may still send some.
+func TestLeaderLostByRestore(t *testing.T) {
+	silent := func(*host) (time.Duration, error) { return noResponse() }
+	for _, tt := range []struct {
+		name  string
+		fresh bool // the new leader has started after the restore
+	}{{"known to the new leader", false}, {"before the new leader has started", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer stopHosts(cancel)
+				s := &stub.Store{}
+				older := s.Copy()
+				a := start(ctx, s, "a", 0, noResponse)
+				time.Sleep(400 * time.Millisecond)
+				var b *host
+				if !tt.fresh {
+					b = start(ctx, s, "b", 1, func() (time.Duration, error) { return silent(a) })
+				}
+				time.Sleep(registrationTime)
+				a.setPartitioned(true)
+				s.Restore(older)
+				if tt.fresh {
+					b = startIn(ctx, s, "b", 1, true, func() (time.Duration, error) { return silent(a) })
+				}
+				if got := checkHandover(t, a, b, 40*time.Second); got < 0 {
+					t.Error("b never becomes leader")
+				}
+			})
+		})
+	}
+}
--- a/internal/elect/handover.go
+++ b/internal/elect/handover.go
@@ -30,7 +30,8 @@
 	stepped   []Leader      // those that have
 	lastOrder time.Duration // boot time of the last order of those in stepped
 	askedAt   time.Duration
-	unsettled bool // the leader record names earlier leaders
+	unknown   bool // there may be others, of which the store has lost the record
+	unsettled bool // the leader record names earlier leaders, or may lack some
 }
 
 // others returns the leader of a record and the earlier ones that it names, without those on the named host, whose
@@ -49,14 +50,19 @@
 
 // takeoverTime returns the time before which this host must not send orders after earlier leaders that do not respond.
 // They may send orders until their leases end, at most leaseTime after the key was removed, and for maxOutage longer if
-// they do not know of this host, so that they need no promise of it. The caller holds e.mu.
-func (e *Elector) takeoverTime(earlier []Leader) time.Duration {
-	if len(earlier) == 0 {
+// they do not know of this host, so that they need no promise of it. Of leaders whose records are lost it is not known
+// since when they cannot renew their leases, but the leases of those that do not know of this host ended soon after its
+// registration. The caller holds e.mu.
+func (e *Elector) takeoverTime(earlier []Leader, unknown bool) time.Duration {
+	if len(earlier) == 0 && !unknown {
 		return e.promiseEnd(nil)
 	}
 	from := e.vacantSince + leaseTime + e.HandoverDelay
-	if !e.isKnownTo(earlier) {
+	switch {
+	case !e.isKnownTo(earlier):
 		from += maxOutage
+	case unknown:
+		from = max(from, min(from+maxOutage, e.registeredSince+knownTime+maxOutage+e.HandoverDelay))
 	}
 	return max(from, e.promiseEnd(nil))
 }
@@ -122,7 +128,7 @@
 	h.silent = slices.DeleteFunc(h.silent, func(o Leader) bool { return o.Host == l.Host })
 	h.stepped = append(h.stepped, l)
 	h.lastOrder = max(h.lastOrder, e.now()-sinceLast)
-	if len(h.silent) == 0 {
+	if len(h.silent) == 0 && !h.unknown {
 		e.ordersFrom = min(e.ordersFrom, max(h.lastOrder+e.HandoverDelay+safetyMargin, e.promiseEnd(h.stepped)))
 	}
 	e.mu.Unlock()
@@ -136,9 +142,9 @@
 		e.mu.Unlock()
 		return renewInterval
 	}
-	revision := e.current.Revision
+	revision, era := e.current.Revision, e.era.number
 	e.mu.Unlock()
-	value, err := json.Marshal(Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: t.Nonce})
+	value, err := json.Marshal(Leader{Host: e.Self.Name, Link: e.Self.Link, Nonce: t.Nonce, Era: era})
 	if err != nil {
 		e.Log.Error().Err(err).Msg("failed to encode leader record")
 		return renewInterval
@@ -146,6 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = e.Store.Commit(ctx, store.Txn{
+		Era:  era,
 		If:   []store.Condition{{Key: leaderKey, Revision: revision}},
 		Puts: []store.Item{{Key: leaderRecordKey, Value: value}},
 	})
--- a/internal/elect/retry.go
+++ b/internal/elect/retry.go
@@ -3,10 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"github.com/figreel/figreel/internal/store"
 )
 
 const (
@@ -42,7 +38,7 @@
 // leaseCalled records the result of a call for the lease and returns the pause before the next one after a failure. The
 // response that the lease has expired shows that the store is reachable.
 func (e *Elector) leaseCalled(err error) time.Duration {
-	if errors.Is(err, store.ErrLeaseGone) {
+	if leaseLost(err) {
 		err = nil
 	}
 	hosts := 1
--- a/internal/elect/schedule_test.go
+++ b/internal/elect/schedule_test.go
@@ -26,6 +26,7 @@
 	testHandover     = 3 * time.Second
 	testProbe        = 300 * time.Millisecond
 	testAnswerExpiry = time.Second
+	maxCopyAge       = 12 // seconds
 )
 
 // Ways in which the leader of a schedule extends its lease.
@@ -48,6 +49,8 @@
 		hosts     []*simHost
 		started   time.Time
 		down      bool // the store answers nobody
+		restores  bool // the store comes back from older copies
+		copies    []*stub.Copy
 		orders    []simOrder
 	}
 
@@ -71,7 +74,8 @@
 		nextRead  time.Duration
 		version   store.Version
 		items     map[string]store.Item
-		confirmed time.Duration // when most hosts have confirmed the outage
+		lapsed    map[string]bool // hosts that were registered before a restore
+		confirmed time.Duration   // when most hosts have confirmed the outage
 	}
 
 	simOrder struct {
@@ -90,32 +94,32 @@
 
 func (s simStore) reaches() bool { return s.h.reachesStore() && s.h.simProcess == s.p && !s.p.dead }
 
-func (s simStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
+func (s simStore) Commit(ctx context.Context, t store.Txn) (store.Version, error) {
 	if !s.reaches() {
-		return 0, store.ErrNotExecuted
+		return store.Version{}, store.ErrNotExecuted
 	}
 	return s.Store.Commit(ctx, t)
 }
 
-func (s simStore) Renew(ctx context.Context, id int64) error {
+func (s simStore) Renew(ctx context.Context, l store.Lease) error {
 	if !s.reaches() {
 		return store.ErrNotExecuted
 	}
-	return s.Store.Renew(ctx, id)
+	return s.Store.Renew(ctx, l)
 }
 
-func (s simStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (s simStore) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if !s.reaches() {
-		return 0, store.ErrNotExecuted
+		return store.Lease{}, store.ErrNotExecuted
 	}
 	return s.Store.Grant(ctx, ttl)
 }
 
-func (s simStore) Revoke(ctx context.Context, id int64) error {
+func (s simStore) Revoke(ctx context.Context, l store.Lease) error {
 	if !s.reaches() {
 		return store.ErrNotExecuted
 	}
-	return s.Store.Revoke(ctx, id)
+	return s.Store.Revoke(ctx, l)
 }
 
 func (h *simHost) reachesStore() bool { return !h.cutStore && !h.run.down }
@@ -130,12 +134,12 @@
 
 // start starts a new process on a machine.
 func (s *schedule) start(h *simHost) {
-	p := &simProcess{items: make(map[string]store.Item), confirmed: -testAnswerExpiry}
+	p := &simProcess{items: make(map[string]store.Item), lapsed: make(map[string]bool), confirmed: -testAnswerExpiry}
 	p.promises.HandoverDelay = testHandover
 	p.Elector = &Elector{
 		Self: topo.Host{Name: h.name, Link: h.name}, Store: simStore{s.store, h, p}, Log: zerolog.Nop(),
 		HandoverDelay: testHandover, Now: s.now, LeadershipChanged: func(bool) {},
-		Rank: func(string) int { return s.rng.IntN(3) },
+		Rank: func(string) int { return s.rng.IntN(3) }, HasRun: s.now() > 2*time.Second,
 		RequestStepDown: func(_ context.Context, earlier Leader, t Term) (time.Duration, error) {
 			return s.stepDown(h, p, earlier, t)
 		},
@@ -202,6 +206,13 @@
 			names = append(names, name)
 		}
 	}
+	if h.RecentlyRestored() {
+		for name := range h.lapsed {
+			if _, listed := h.items[HostPrefix+name]; !listed && name != h.name {
+				names = append(names, name)
+			}
+		}
+	}
 	return names
 }
 
@@ -226,7 +237,7 @@
 		return
 	}
 	events, as, err := h.run.store.Watch(ctx, Prefix, h.version, 0)
-	if err != nil {
+	if err != nil || as.Era != h.version.Era {
 		h.version = store.Version{}
 		return
 	}
@@ -237,7 +248,7 @@
 			delete(h.items, e.Key)
 		}
 	}
-	h.Apply(events)
+	h.Apply(as.Era, events)
 	if len(events) > 0 {
 		h.nextStep = 0
 	}
@@ -252,12 +263,17 @@
 }
 
 func (h *simHost) replace(items []store.Item, as store.Version) {
+	for key := range h.items {
+		if name, ok := strings.CutPrefix(key, HostPrefix); ok {
+			h.lapsed[name] = true
+		}
+	}
 	clear(h.items)
 	for _, it := range items {
 		h.items[it.Key] = it
 	}
 	h.version, h.nextStep = as, 0
-	h.Replace(items)
+	h.Replace(as, items)
 }
 
 // probe asks the other hosts for their promises, or whether they reach the store.
@@ -288,7 +304,11 @@
 func (s *schedule) disrupt(ctx context.Context) {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	o := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(13) {
+	kinds := 13
+	if s.restores {
+		kinds = 16
+	}
+	switch s.rng.IntN(kinds) {
 	case 0, 1: // all but one lose the store and that one
 		for _, o := range s.hosts {
 			o.cutStore = o != h
@@ -337,6 +357,17 @@
 				}
 			}
 		}
+	case 13, 14, 15:
+		s.restore()
+	}
+}
+
+// restore brings the store back from a copy of the last seconds, to which others then write.
+func (s *schedule) restore() {
+	s.store.Restore(s.copies[len(s.copies)-1-s.rng.IntN(min(len(s.copies), maxCopyAge))])
+	s.down = s.rng.IntN(3) == 0
+	for range s.rng.IntN(30) {
+		s.store.Set("other", "")
 	}
 }
 
@@ -351,7 +382,12 @@
 	if s.rng.IntN(2) == 0 {
 		next += knownTime
 	}
+	copyAt := time.Duration(0)
 	for s.now() < scheduleTime {
+		if s.restores && s.now() >= copyAt {
+			copyAt = s.now() + time.Second
+			s.copies = append(s.copies, s.store.Copy())
+		}
 		if s.now() > next {
 			s.disrupt(ctx)
 			next = s.now() + time.Duration(s.rng.Int64N(int64(4*time.Second)))
@@ -380,17 +416,21 @@
 // Guards against orders of two leaders: a leader that has lost the store goes on although a host that it does not reach
 // leads, or a new leader begins before the orders of all earlier ones have ended. Hosts lose the store, each other in
 // one or both directions, freeze, die, restart, stop and join in random schedules. The schedules find the fault of a
-// leader that takes the word of most hosts.
+// leader that takes the word of most hosts. In some, the store comes back from copies of the last seconds, which have
+// lost records of leaders, and gives out revisions and leases again.
 func TestOneLeader(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
 		extension extension
+		restores  bool
 		runs      uint64
 		faulty    bool // two leaders are found in some run
 	}{
-		{"all hosts promise", allPromise, schedules, false},
-		{"no extension", noExtension, schedules / 10, false},
-		{"most hosts confirm an outage", mostConfirm, schedules / 10, true},
+		{"all hosts promise", allPromise, false, schedules, false},
+		{"no extension", noExtension, false, schedules / 10, false},
+		{"most hosts confirm an outage", mostConfirm, false, schedules / 10, true},
+		{"the store is restored", allPromise, true, schedules, false},
+		{"the store is restored, no extension", noExtension, true, schedules / 10, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			found := make([]string, tt.runs)
@@ -402,7 +442,9 @@
 						t.Parallel()
 						for seed := shard; seed < tt.runs; seed += shards {
 							synctest.Test(t, func(*testing.T) {
-								s := &schedule{rng: rand.New(rand.NewPCG(seed, 7)), extension: tt.extension}
+								s := &schedule{
+									rng: rand.New(rand.NewPCG(seed, 7)), extension: tt.extension, restores: tt.restores,
+								}
 								found[seed], orders[seed] = s.play(), len(s.orders)
 							})
 						}
--- a/internal/emul/site/outage.go
+++ b/internal/emul/site/outage.go
@@ -56,33 +56,33 @@
 }
 
 // Commit implements store.Store.
-func (h *hostStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
+func (h *hostStore) Commit(ctx context.Context, t store.Txn) (store.Version, error) {
 	if err := h.reach(); err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	return h.Store.Commit(ctx, t)
 }
 
 // Grant implements store.Store.
-func (h *hostStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (h *hostStore) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if err := h.reach(); err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	return h.Store.Grant(ctx, ttl)
 }
 
 // Renew implements store.Store.
-func (h *hostStore) Renew(ctx context.Context, lease int64) error {
+func (h *hostStore) Renew(ctx context.Context, l store.Lease) error {
 	if err := h.reach(); err != nil {
 		return err
 	}
-	return h.Store.Renew(ctx, lease)
+	return h.Store.Renew(ctx, l)
 }
 
 // Revoke implements store.Store.
-func (h *hostStore) Revoke(ctx context.Context, lease int64) error {
+func (h *hostStore) Revoke(ctx context.Context, l store.Lease) error {
 	if err := h.reach(); err != nil {
 		return err
 	}
-	return h.Store.Revoke(ctx, lease)
+	return h.Store.Revoke(ctx, l)
 }
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -96,7 +96,8 @@
 	sc := &storeCache{
 		platform: p, limits: limits, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host),
-		lapsed: make(map[string]time.Duration), ended: make(map[string]endedUpstream), nextChange: make(chan struct{}), retryNow: make(chan struct{}),
+		lapsed: make(map[string]time.Duration), ended: make(map[string]endedUpstream),
+		nextChange: make(chan struct{}), retryNow: make(chan struct{}),
 		now: clock.SinceBoot,
 	}
 	for _, prefix := range sc.prefixes() {
@@ -217,6 +218,20 @@
 	return n
 }
 
+// lapsedHosts returns the names of the other hosts whose registrations ended a while ago.
+func (sc *storeCache) lapsedHosts() []string {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	var names []string
+	for key, since := range sc.lapsed {
+		name := strings.TrimPrefix(key, elect.HostPrefix)
+		if sc.now()-since <= lapsedTime && name != sc.elector.Self.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // retryStore ends all waits after failed calls to the store.
 func (sc *storeCache) retryStore() {
 	sc.mu.Lock()
@@ -362,7 +377,7 @@
 	sc.notify()
 	sc.mu.Unlock()
 	if l.Prefix == elect.Prefix {
-		sc.elector.Replace(l.Items)
+		sc.elector.Replace(l.Version(), l.Items)
 	}
 	sc.onChange()
 }
@@ -389,7 +404,7 @@
 	sc.notify()
 	sc.mu.Unlock()
 	if prefix == elect.Prefix {
-		sc.elector.Apply(events)
+		sc.elector.Apply(as.Era, events)
 	}
 	if len(events) > 0 {
 		sc.onChange()
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -28,8 +28,8 @@
 	return out, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
 }
 
-// changesSince returns the changes of the prefix since a version, or all items if that is of another era or the deletions
-// since then are not known any more.
+// changesSince returns the changes of the prefix since a version, or all items if that is of another era or the
+// deletions since then are not known any more.
 func (p *prefixState) changesSince(v store.Version) link.PrefixState {
 	revision := v.Revision
 	l := link.PrefixState{
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -162,26 +162,26 @@
 	return h.Store.List(ctx, prefix)
 }
 
-func (h *fleetHost) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (h *fleetHost) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if err := h.connect(); err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	return h.Store.Grant(ctx, ttl)
 }
 
-func (h *fleetHost) Commit(ctx context.Context, t store.Txn) (int64, error) {
+func (h *fleetHost) Commit(ctx context.Context, t store.Txn) (store.Version, error) {
 	if err := h.connect(); err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	return h.Store.Commit(ctx, t)
 }
 
-func (h *fleetHost) Renew(ctx context.Context, id int64) error {
+func (h *fleetHost) Renew(ctx context.Context, l store.Lease) error {
 	if h.isolated() {
 		<-ctx.Done()
 		return store.ErrOutcomeUnknown
 	}
-	return h.Store.Renew(ctx, id)
+	return h.Store.Renew(ctx, l)
 }
 
 // connect waits for a connection to the store, which an isolated host does not get.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -96,7 +96,7 @@
 		Name: s.Name, Front: s.Front, Link: s.Link, Domain: s.Domain, Ready: true, Cores: s.Cores,
 	}
 	h.elector = &elect.Elector{
-		Self: self, Store: h.Platform.Store, Log: h.Log, HandoverDelay: s.HandoverDelay,
+		Self: self, Store: h.Platform.Store, Log: h.Log, HandoverDelay: s.HandoverDelay, HasRun: s.HasRun,
 		Rank: h.rank, RequestStepDown: h.requestStepDown, LeadershipChanged: h.leadershipChanged,
 	}
 	limits := newAgeLimits(s.DrainTime)
--- a/internal/host/promise.go
+++ b/internal/host/promise.go
@@ -31,6 +31,9 @@
 	for _, o := range hosts {
 		names = append(names, o.Name)
 	}
+	if r.elector.RecentlyRestored() {
+		names = append(names, r.cache.lapsedHosts()...)
+	}
 	if !r.elector.RenewalOverdue() {
 		round.overdue, round.logged = false, false
 		if r.cache.isCurrent() {
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -20,6 +20,7 @@
 		DirectoryAddr string   // address of the endpoint that lists host addresses for callers
 		Link          string   // address for other hosts
 		Seeds         []string // addresses of some other hosts, used before any host is known
+		HasRun        bool     // the system has run before this host started
 		StoreAddr     string
 		MetricsAddr   string        // address of the metrics endpoint
 		Grace         time.Duration // from the stop signal until the process is killed
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,8 +25,8 @@
 )
 
 type (
-	// Version is a state of the store. Revisions are comparable only within one era: each time the store comes back from
-	// an older copy, its era rises, and revisions that the copy does not have are given out again.
+	// Version is a state of the store. Revisions are comparable only within one era: each time the store comes back
+	// from an older copy, its era rises, and revisions that the copy does not have are given out again.
 	Version struct {
 		Era      int64 // 0 if the store states none
 		Revision int64
@@ -52,28 +52,35 @@
 		Revision int64
 	}
 
+	// Lease is a lease of the store. A later era may have lost it and have given its ID to another one.
+	Lease struct {
+		ID, Era int64
+	}
+
 	// Txn writes and removes keys if all conditions hold.
 	Txn struct {
+		Era    int64 // of the revisions and leases in it
 		If     []Condition
 		Puts   []Item // Revision is ignored
 		Remove []string
 	}
 
-	// Store is a key-value service. Methods return the errors of this package; implementations count every call.
+	// Store is a key-value service. Methods return the errors of this package; implementations count every call. A call
+	// that refers to an earlier era than that of the response fails with ErrRestored, but it may have been executed.
 	Store interface {
 		// List returns the items with that prefix and the version to pass to Watch.
 		List(ctx context.Context, prefix string) (items []Item, as Version, err error)
 		// Watch returns the changes after a version and the version to continue from; it returns no changes if none
 		// happen within wait.
 		Watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Event, Version, error)
-		// Commit executes the transaction and returns the revision of the change.
-		Commit(ctx context.Context, t Txn) (int64, error)
+		// Commit executes the transaction and returns the version of the change.
+		Commit(ctx context.Context, t Txn) (Version, error)
 		// Grant creates a lease that expires ttl after its last renewal.
-		Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 		// Renew extends a lease by its ttl.
-		Renew(ctx context.Context, lease int64) error
+		Renew(ctx context.Context, l Lease) error
 		// Revoke ends a lease and removes its keys.
-		Revoke(ctx context.Context, lease int64) error
+		Revoke(ctx context.Context, l Lease) error
 	}
 )
 
--- a/internal/store/stub/store.go
+++ b/internal/store/stub/store.go
@@ -194,7 +194,7 @@
 }
 
 // Commit implements store.Store.
-func (s *Store) Commit(_ context.Context, t store.Txn) (revision int64, err error) {
+func (s *Store) Commit(_ context.Context, t store.Txn) (as store.Version, err error) {
 	err = s.call("commit", func() error {
 		for _, c := range t.If {
 			if s.items[c.Key].Revision != c.Revision {
@@ -212,44 +212,44 @@
 		for _, key := range t.Remove {
 			s.remove(key)
 		}
-		revision = s.revision
-		return nil
+		as = s.version()
+		return s.checkEra(t.Era)
 	})
-	return revision, err
+	return as, err
 }
 
 // Grant implements store.Store.
-func (s *Store) Grant(_ context.Context, ttl time.Duration) (id int64, err error) {
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (granted store.Lease, err error) {
 	err = s.call("grant", func() error {
 		s.lastLease++
-		id = s.lastLease
+		granted = store.Lease{ID: s.lastLease, Era: s.era}
 		l := &lease{ttl: ttl, end: time.Now().Add(ttl)}
-		s.leases[id] = l
+		s.leases[granted.ID] = l
 		if l.end.Before(s.nextExpiry) {
 			s.nextExpiry = l.end
 		}
 		return nil
 	})
-	return id, err
+	return granted, err
 }
 
 // Renew implements store.Store.
-func (s *Store) Renew(_ context.Context, id int64) error {
+func (s *Store) Renew(_ context.Context, renewed store.Lease) error {
 	return s.call("renew", func() error {
-		l := s.leases[id]
+		l := s.leases[renewed.ID]
 		if l == nil {
 			return store.ErrLeaseGone
 		}
 		l.end = time.Now().Add(l.ttl)
-		return nil
+		return s.checkEra(renewed.Era)
 	})
 }
 
 // Revoke implements store.Store.
-func (s *Store) Revoke(_ context.Context, id int64) error {
+func (s *Store) Revoke(_ context.Context, l store.Lease) error {
 	return s.call("end", func() error {
-		s.endLease(id)
-		return nil
+		s.endLease(l.ID)
+		return s.checkEra(l.Era)
 	})
 }
 
@@ -286,6 +286,14 @@
 	}
 }
 
+// checkEra returns an error for a call that refers to another era. The store does not know that, but its client does.
+func (s *Store) checkEra(era int64) error {
+	if era != s.era {
+		return store.ErrRestored
+	}
+	return nil
+}
+
 func (s *Store) version() store.Version { return store.Version{Era: s.era, Revision: s.revision} }
 
 // notify wakes the waiting watches.
