--- a/internal/elect/era.go
+++ b/internal/elect/era.go
@@ -42,8 +42,8 @@
 	return errors.Is(err, store.ErrLeaseGone) || errors.Is(err, store.ErrRestored)
 }
 
-// enterEra starts a new era of the store: its copy may lack the lease, the registration and leader records, and may give
-// their revisions and IDs to others. It returns whether this host was leader. The caller holds e.mu.
+// enterEra starts a new era of the store: its copy may lack the lease, the registration and leader records, and may
+// give their revisions and IDs to others. It returns whether this host was leader. The caller holds e.mu.
 func (e *Elector) enterEra(era int64, promised time.Duration) (wasLeader bool) {
 	if e.era.known && era <= e.era.number {
 		return false
