Log which request a broken connection was for

The logs had the prompt segments of calls under which engines ended, which do not tell a request that comes again from several calls of one session, and nothing for plain services. Method, host, path and body are hashed and logged; no decision changes.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -95,7 +95,7 @@
 	}
 	c.attempts++
 	if err != nil {
-		c.logBroken(g, err)
+		c.logBroken(g.Engine, err)
 		return c.handleFailure(), c.failureOutcome(sched.Broken)
 	}
 	c.s.applyNotice(sent, topo.Instance{ID: g.Engine, Boot: g.Boot}, res)
@@ -110,7 +110,7 @@
 	}
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
-		c.logBroken(g, err)
+		c.logBroken(g.Engine, err)
 		return c.handleFailure(), c.failureOutcome(sched.Broken)
 	}
 	outcome := sched.Served
@@ -165,7 +165,7 @@
 			c.logEnd(res.Status, "")
 			return completed, sched.Served
 		default:
-			c.logBroken(g, err)
+			c.logBroken(g.Engine, err)
 			return c.handleTruncated()
 		}
 	}
@@ -173,7 +173,7 @@
 
 // logBroken logs an attempt whose connection broke, with what tells calls apart that break engines from calls that only
 // shared an engine with them.
-func (c *call) logBroken(g sched.Grant, err error) {
+func (c *call) logBroken(upstream string, err error) {
 	if c.ctx.Err() != nil {
 		return
 	}
@@ -181,8 +181,9 @@
 	for _, s := range c.spec.Segments {
 		segments = append(segments, strconv.FormatUint(s.ID, 16))
 	}
-	c.s.Log.Warn().Err(err).Str("call", c.id).Str("upstream", g.Engine).Bool("first_event", c.firstEventSent).
-		Strs("segments", segments).Msg("connection to engine broke")
+	c.s.Log.Warn().Err(err).Str("call", c.id).Str("upstream", upstream).Bool("first_event", c.firstEventSent).
+		Strs("segments", segments).Str("request", strconv.FormatUint(c.spec.Request, 16)).
+		Msg("connection to upstream broke")
 }
 
 // handleTruncated handles a stream that ended before it was complete; another engine continues it if it is resumable.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -272,6 +272,7 @@
 	}
 	c.attempts++
 	if err != nil {
+		c.logBroken(u.ID, err)
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
 		return c.handleFailure()
 	}
@@ -279,6 +280,7 @@
 	stated := c.s.applyNotice(sent, u.Instance(), res)
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
+		c.logBroken(u.ID, err)
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
 		return c.handleFailure()
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -194,18 +195,29 @@
 			c.deadline = end
 		}
 	}
-	if cfg.Services[c.service].Engine == nil {
-		return true
-	}
-	spec, err := c.s.ParseSpec(c.r.Header)
-	if err != nil {
-		c.fail(http.StatusBadRequest, reasonBadRequest)
-		return false
+	if cfg.Services[c.service].Engine != nil {
+		spec, err := c.s.ParseSpec(c.r.Header)
+		if err != nil {
+			c.fail(http.StatusBadRequest, reasonBadRequest)
+			return false
+		}
+		c.spec = spec
 	}
-	c.spec = spec
+	c.spec.Request = requestHash(c.r, c.body)
 	return true
 }
 
+// requestHash returns what identifies a request that comes again. Headers are left out, because some differ each time,
+// and so is the address of the caller, who may come from another one.
+func requestHash(r *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, withoutPort(r.Host), r.RequestURI} {
+		_, _ = h.WriteString(part + "\x00")
+	}
+	_, _ = h.Write(body)
+	return max(h.Sum64(), 1)
+}
+
 // upstreamRequest returns the request of the next attempt, with the remaining time as its deadline.
 func (c *call) upstreamRequest(addr, id string) *h1.Request {
 	h := c.header.Clone()
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -10,6 +10,8 @@
 		PromptTokens int             `cbor:"3,keyasint"`
 		OutputTokens int             `cbor:"4,keyasint"` // expected number, at most the limit that the caller set
 		Segments     []PromptSegment `cbor:"5,keyasint,omitempty"`
+		// Request identifies what the caller asks for: it is the same if the same request comes again. 0 is unknown.
+		Request uint64 `cbor:"6,keyasint,omitempty"`
 	}
 
 	// PromptSegment is a piece of a prompt that calls may share. Segments can only be shared as a prefix, so their
