Quarantine a request that comes again and crashes upstreams

Cause: a segment of a prompt is suspected only if engines broke under two different calls, and this is one call each time; what it alone has, its last segment, never counts. Plain services told the quarantine nothing. Change: method, host, path and body are hashed, and the hash is evidence like a segment that only this request has; three engines are enough. Breaks after the first event count for the request. Plain services report and ask too. Served requests are remembered apart from the evidence, which they would displace, so that one host's broken connections block no common request. Ruled out: evidence that does not spread (the leader had three crashes within 1.2 s); the caller's address as identity (the same request came from several); the last segment alone (calls of a session share it).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -541,3 +541,72 @@
 		t.Errorf("status %d, %v after %d requests, want the response of the second attempt", status, err, requests.Load())
 	}
 }
+
+// quarantine blocks the calls of one request after a number of broken connections.
+type quarantine struct {
+	mu     sync.Mutex
+	broken map[uint64]int
+	served map[uint64]int
+	most   int
+}
+
+func (q *quarantine) Admits(call *topo.CallSpec) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.broken[call.Request] < q.most
+}
+
+func (q *quarantine) Broken(_ time.Time, _ topo.Instance, call *topo.CallSpec) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken[call.Request]++
+}
+
+func (q *quarantine) Served(call *topo.CallSpec) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.served[call.Request]++
+}
+
+// Guards against a request that crashes one upstream of a plain service after the other because each repetition is taken
+// for another call, against a rejection that claims that a call was not executed which was, and against other calls that
+// are rejected with it.
+func TestRepeatedRequest(t *testing.T) {
+	q := &quarantine{broken: make(map[uint64]int), served: make(map[uint64]int), most: 2}
+	var plain []*upstream
+	for range 3 {
+		plain = append(plain, newUpstream(t, "CLOSE", "CLOSE", "CLOSE", "CLOSE"))
+	}
+	srv, _ := newServer(t, config(topo.Idempotent, false, 3), plain, nil, 10)
+	server, ok := srv.Config.Handler.(*entry.Server)
+	if !ok {
+		t.Fatal("no entry server")
+	}
+	server.Quarantine = q
+	reached := func() int {
+		n := 0
+		for _, u := range plain {
+			n += len(u.requests())
+		}
+		return n
+	}
+	for _, tt := range []struct {
+		name, path, body string
+		status           int
+		reached          int // calls that upstreams got so far
+	}{
+		{"first", "/p/x", "deadly", http.StatusBadGateway, 2},
+		{"again", "/p/x", "deadly", http.StatusServiceUnavailable, 2},
+		{"another body", "/p/x", "other", http.StatusBadGateway, 4},
+		{"another path", "/p/y", "deadly", http.StatusBadGateway, 6},
+		{"again, with another id", "/p/x", "deadly", http.StatusServiceUnavailable, 6},
+	} {
+		status, _, h, err := send(t, srv.URL, tt.path, tt.body)
+		if err != nil || status != tt.status || reached() != tt.reached {
+			t.Errorf("%s: status %d, %v, %d calls reached upstreams", tt.name, status, err, reached())
+		}
+		if status == http.StatusServiceUnavailable && h.Get("Retry-After") == "" {
+			t.Errorf("%s: no time after which to come again", tt.name)
+		}
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,6 +13,7 @@
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/notice"
+	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -213,6 +214,11 @@
 			c.finishUnserved(reason, max(retryAfter, defaultRetryAfter))
 			return
 		}
+		if c.s.Quarantine != nil && !c.s.Quarantine.Admits(&c.spec) {
+			c.s.Balancer.cancel(u.ID)
+			c.finishUnserved(sched.ReasonQuarantine, sched.QuarantineRetryAfter)
+			return
+		}
 		if c.attemptPlain(u) == completed {
 			return
 		}
@@ -272,24 +278,34 @@
 	}
 	c.attempts++
 	if err != nil {
-		c.logBroken(u.ID, err)
-		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
-		return c.handleFailure()
+		return c.handleBroken(u, sent, err)
 	}
 	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
 	stated := c.s.applyNotice(sent, u.Instance(), res)
 	body, err := res.ReadAll(MaxResponseBytes)
 	if err != nil {
-		c.logBroken(u.ID, err)
-		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
-		return c.handleFailure()
+		return c.handleBroken(u, sent, err)
 	}
 	// An upstream that asks for a pause gets no calls meanwhile, and has not failed.
 	failed := res.Status >= http.StatusInternalServerError && stated.Hold == 0
 	c.s.Balancer.Done(time.Now(), u.ID, failed)
+	if c.s.Quarantine != nil && res.Status < http.StatusInternalServerError && !c.notExecuted(res) {
+		c.s.Quarantine.Served(&c.spec)
+	}
 	return c.handleResponse(res, body)
 }
 
+// handleBroken handles an attempt at a plain upstream whose connection broke, unless the call has ended.
+func (c *call) handleBroken(u *topo.Upstream, sent time.Time, err error) attemptResult {
+	running := c.ctx.Err() == nil
+	c.logBroken(u.ID, err)
+	c.s.Balancer.Done(time.Now(), u.ID, running)
+	if running && c.s.Quarantine != nil {
+		c.s.Quarantine.Broken(sent, u.Instance(), &c.spec)
+	}
+	return c.handleFailure()
+}
+
 // handleResponse relays a complete response, or returns tryNext if the upstream did not execute the request or failed
 // in a way that allows a retry.
 func (c *call) handleResponse(res *h1.Response, body []byte) attemptResult {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,7 @@
 	Config      func() *topo.Config
 	Pool        *h1.Pool
 	Tickets     TicketClient
+	Quarantine  Quarantine // nil if there is none
 	Balancer    *Balancer
 	RetryBudget RetryBudget
 	Stats       *stats.Set
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -56,6 +56,16 @@
 		Release(g sched.Grant, outcome sched.Outcome)
 	}
 
+	// Quarantine rejects calls of plain services that crash one upstream after the other.
+	Quarantine interface {
+		// Admits reports whether the call may be sent to an upstream.
+		Admits(call *topo.CallSpec) bool
+		// Broken records that the connection to an upstream broke under a call that was sent at the given time.
+		Broken(sent time.Time, u topo.Instance, call *topo.CallSpec)
+		// Served records that the call was served.
+		Served(call *topo.CallSpec)
+	}
+
 	// RetryBudget is the retry budget of each service: Earn counts a call, Spend takes one retry if there is one.
 	RetryBudget interface {
 		Earn(service string)
--- a/internal/host/departure_test.go
+++ b/internal/host/departure_test.go
@@ -105,7 +105,8 @@
 func TestQuarantineReachesAllHosts(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const contactTime = 3 * time.Second
-	spec := &topo.CallSpec{Segments: []topo.PromptSegment{{ID: 1}, {ID: 2}}}
+	segment := &topo.CallSpec{Segments: []topo.PromptSegment{{ID: 1}, {ID: 2}}}
+	request := &topo.CallSpec{Request: 7}
 	for i := range 6 {
 		t.Run(fmt.Sprint("host-", i), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -114,17 +115,18 @@
 				first := f.hosts[i].relay.tickets
 				first.mu.Lock()
 				for n := range uint64(3) {
-					segments := []topo.PromptSegment{{ID: 1}, {ID: 100 + n}}
+					call := &topo.CallSpec{Segments: []topo.PromptSegment{{ID: 1}, {ID: 100 + n}}}
 					at := time.Now().Add(time.Duration(n) * time.Second)
-					first.scheduler.Poison.Broken(at, at, fmt.Sprint(n), segments)
+					first.scheduler.Poison.Broken(at, at, fmt.Sprint(n), call)
+					first.scheduler.Poison.Broken(at, at, fmt.Sprint("plain-", n), request)
 				}
 				first.mu.Unlock()
 				time.Sleep(contactTime / 2)
 				f.hosts[i].silent.Store(true)
 				time.Sleep(contactTime / 2)
 				for _, h := range f.hosts {
-					if !h.relay.tickets.blocks(spec) {
-						t.Errorf("%s does not know of the quarantine", h.name)
+					if !h.relay.tickets.blocks(segment) || h.relay.tickets.Admits(request) {
+						t.Errorf("%s does not know of the quarantines", h.name)
 					}
 				}
 				f.heal()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -125,7 +125,7 @@
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config,
-		Pool: h.Pool, Tickets: h.tickets, Balancer: &entry.Balancer{
+		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
 		RetryBudget: &retryBudget{
--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -12,7 +12,33 @@
 func (s *ticketService) blocks(spec *topo.CallSpec) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Poison.Blocks(spec.Segments)
+	return s.scheduler.Poison.Blocks(spec)
+}
+
+// Admits implements entry.Quarantine. Only the host that places models tests a quarantine.
+func (s *ticketService) Admits(call *topo.CallSpec) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.scheduler.Poison
+	return !p.Blocks(call) || !s.scheduler.PlacementFrom.IsZero() && p.Probe(time.Now(), call)
+}
+
+// Broken implements entry.Quarantine.
+func (s *ticketService) Broken(sent time.Time, u topo.Instance, call *topo.CallSpec) {
+	s.mu.Lock()
+	s.scheduler.Poison.Broken(time.Now(), sent, u.String(), call)
+	changed := s.scheduler.Poison.Changes()
+	s.mu.Unlock()
+	s.logQuarantines(changed, s.self)
+}
+
+// Served implements entry.Quarantine.
+func (s *ticketService) Served(call *topo.CallSpec) {
+	s.mu.Lock()
+	s.scheduler.Poison.Served(time.Now(), call)
+	changed := s.scheduler.Poison.Changes()
+	s.mu.Unlock()
+	s.logQuarantines(changed, s.self)
 }
 
 // poisonState returns what this host knows of prompt segments that crash engines, for other hosts.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -88,8 +88,8 @@
 		Token int64 `cbor:"19,keyasint,omitempty"`
 	}
 
-	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the events
-	// since the revision that the receiver has, which is of the same era.
+	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
+	// events since the revision that the receiver has, which is of the same era.
 	PrefixState struct {
 		Prefix   string        `cbor:"1,keyasint"`
 		Revision int64         `cbor:"2,keyasint"`
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -5,4 +5,7 @@
 // nothing. A segment is quarantined if engines broke at different times under different calls with it that had got no
 // event, while no call with it was served. Segments that calls have in common with the cause, such as a system prompt,
 // are cleared by the calls that are served.
+//
+// A call that comes again is one request, with the same path and body. It is quarantined like a segment that only it
+// has.
 package poison
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -13,14 +13,15 @@
 		at, sent time.Time
 		instance string
 		segments []topo.PromptSegment
+		request  uint64 // of the call, 0 if it is not known
 	}
 
-	// evidence is what is known of one segment.
+	// evidence is what is known of one segment or request.
 	evidence struct {
 		servedAt  time.Time
 		brokenAt  time.Time // when the last engine was counted
 		instances []string  // engine instances that broke
-		calls     []uint64  // last segments of the calls under which they broke, at most minCalls
+		calls     []uint64  // the calls under which they broke, at most minCalls
 	}
 )
 
@@ -48,6 +49,17 @@
 	return e
 }
 
+// recallServed adds to the evidence that a request was served.
+func (t *Table) recallServed(request uint64) {
+	at := t.served.at(request)
+	if at.IsZero() {
+		return
+	}
+	if e := t.of(request); at.After(e.servedAt) && at.After(e.brokenAt) {
+		*e = evidence{servedAt: at}
+	}
+}
+
 // cleared reports whether a call with the segment was served lately.
 func (e *evidence) cleared(now time.Time) bool {
 	return !e.servedAt.IsZero() && now.Sub(e.servedAt) < retention
@@ -58,8 +70,28 @@
 	return c.instance == other.instance && c.call() == other.call()
 }
 
-// call identifies the call by its last segment, which no other call has.
-func (c *crash) call() uint64 { return c.segments[len(c.segments)-1].ID }
+// call identifies the call by its request or, if that is not known, by its last segment.
+func (c *crash) call() uint64 {
+	if c.request != 0 || len(c.segments) == 0 {
+		return c.request
+	}
+	return c.segments[len(c.segments)-1].ID
+}
+
+// suspects returns the ids that may be the cause of the crash.
+func (c *crash) suspects() []uint64 {
+	return parts(&topo.CallSpec{Segments: c.segments, Request: c.request})
+}
+
+// parts returns the ids of what a call has in common with others: the shared segments and, for a call that comes again,
+// its request.
+func parts(call *topo.CallSpec) []uint64 {
+	ids := shared(call.Segments)
+	if call.Request != 0 {
+		ids = append(ids, call.Request)
+	}
+	return ids
+}
 
 // add counts an engine instance that broke under a call with the segment.
 func (e *evidence) add(now time.Time, c *crash) {
@@ -72,7 +104,7 @@
 	if len(e.calls) < minCalls && !slices.Contains(e.calls, c.call()) {
 		e.calls = append(e.calls, c.call())
 	}
-	commonCause := c.at.Sub(e.brokenAt).Abs() < commonCauseTime && !c.sent.After(e.brokenAt)
+	commonCause := c.at.Sub(e.brokenAt).Abs() < commonCauseTime && c.sent.Before(e.brokenAt)
 	if commonCause || slices.Contains(e.instances, c.instance) || len(e.instances) == maxInstances {
 		return
 	}
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -19,6 +19,7 @@
 		Segments []topo.PromptSegment `cbor:"2,keyasint"` // those that no call has cleared, and the last one
 		Age      time.Duration        `cbor:"3,keyasint"` // since the engine broke
 		Took     time.Duration        `cbor:"4,keyasint"` // from the sending of the call until then
+		Request  uint64               `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -35,8 +36,11 @@
 	}
 	for _, c := range t.crashes {
 		age := now.Sub(c.at)
-		if suspects := t.suspects(now, c.segments); age < reportTime && len(suspects) > 1 {
-			r := Report{Instance: c.instance, Segments: suspects, Age: age, Took: c.at.Sub(c.sent)}
+		r := Report{Instance: c.instance, Segments: t.suspects(now, c.segments), Age: age, Took: c.at.Sub(c.sent)}
+		if e := t.known(c.request); e == nil || !e.cleared(now) {
+			r.Request = c.request
+		}
+		if age < reportTime && (len(r.Segments) > 1 || r.Request != 0) {
 			out.Reports = append(out.Reports, r)
 		}
 	}
@@ -53,7 +57,7 @@
 	}
 	for _, r := range s.Reports {
 		at := now.Add(-r.Age)
-		t.add(now, crash{at: at, sent: at.Add(-r.Took), instance: r.Instance, segments: r.Segments})
+		t.add(now, crash{at: at, sent: at.Add(-r.Took), instance: r.Instance, segments: r.Segments, request: r.Request})
 	}
 	for _, r := range s.Records {
 		if len(r.Segments) == 0 {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// minCrashes and minCalls are how many engines must have broken, under how many different calls.
+	// minCrashes and minCalls are how many engines must have broken, under how many different calls with a segment.
 	minCrashes = 3
 	minCalls   = 2
 	// commonCauseTime is the time within which engines that break count as one, because an outage breaks many at once.
@@ -23,7 +23,7 @@
 	// maxRecords bounds how many quarantines are kept, including those that have ended.
 	maxRecords = 64
 	// maxReports bounds how many crashes a host tells others of, and reportTime how old these may be.
-	maxReports = 8
+	maxReports = 32
 	reportTime = 10 * time.Second
 	// initialProbeDelay is the time after which one call tests a quarantine; it doubles with each test, up to
 	// maxProbeDelay.
@@ -32,7 +32,8 @@
 )
 
 type (
-	// Record is a quarantine: calls with all of its segments are rejected while it is active.
+	// Record is a quarantine: calls with all of its segments are rejected while it is active. A request counts as a
+	// segment.
 	Record struct {
 		Segments []uint64 `cbor:"1,keyasint"`           // ids, sorted
 		Active   bool     `cbor:"2,keyasint,omitempty"` // false after it has ended
@@ -45,6 +46,7 @@
 	Table struct {
 		// Evidence is kept in two generations, so that the oldest half can be dropped at once.
 		recent, old map[uint64]*evidence
+		served      servedRequests
 		records     map[string]*quarantine
 		crashes     []crash  // the newest ones under calls with segments that no call has cleared
 		changed     []Record // not yet returned by Changes
@@ -59,23 +61,47 @@
 	}
 )
 
-// Served records that a call with these segments was served completely, which clears all of them.
-func (t *Table) Served(now time.Time, segments []topo.PromptSegment) {
-	t.clear(now, shared(segments))
+// Served records that a call was served completely, which clears its segments and its request.
+func (t *Table) Served(now time.Time, call *topo.CallSpec) {
+	ids := shared(call.Segments)
+	if call.Request != 0 {
+		t.served.add(now, call.Request)
+	}
+	if t.isSuspect(call.Request) {
+		ids = append(ids, call.Request)
+	}
+	t.clear(now, ids)
+}
+
+// Broken records that the connection to an upstream instance broke before a call, which had been sent at the given
+// time, got an event.
+func (t *Table) Broken(now, sent time.Time, instance string, call *topo.CallSpec) {
+	t.add(now, crash{at: now, sent: sent, instance: instance, segments: call.Segments, request: call.Request})
 }
 
-// Broken records that the connection to an engine instance broke before the call with these segments, which had been
-// sent at the given time, got an event.
-func (t *Table) Broken(now, sent time.Time, instance string, segments []topo.PromptSegment) {
-	t.add(now, crash{at: now, sent: sent, instance: instance, segments: segments})
+// isSuspect reports whether there is evidence against a request or it is part of a quarantine.
+func (t *Table) isSuspect(request uint64) bool {
+	if request == 0 {
+		return false
+	}
+	if t.known(request) != nil {
+		return true
+	}
+	for _, q := range t.records {
+		if q.Active && slices.Contains(q.Segments, request) {
+			return true
+		}
+	}
+	return false
 }
 
 // add adds a crash to the evidence, unless it is known already.
 func (t *Table) add(now time.Time, c crash) {
-	ids := shared(c.segments)
+	ids := c.suspects()
 	if len(ids) == 0 || slices.ContainsFunc(t.crashes, c.isSame) {
 		return
 	}
+	t.recallServed(c.request)
 	if !slices.ContainsFunc(ids, func(id uint64) bool { return !t.of(id).cleared(now) }) {
 		return
 	}
@@ -88,7 +114,9 @@
 	for _, id := range ids {
 		e := t.of(id)
 		e.add(now, &c)
-		if len(e.instances) < minCrashes || len(e.calls) < minCalls || len(e.instances) < crashes {
+		// A request is the same call each time, so different calls are needed only for segments.
+		proven := len(e.instances) >= minCrashes && (len(e.calls) >= minCalls || id == c.request)
+		if !proven || len(e.instances) < crashes {
 			continue
 		}
 		if len(e.instances) > crashes {
@@ -101,12 +129,12 @@
 	}
 }
 
-// Blocks reports whether a call with these segments must not be sent to an engine.
-func (t *Table) Blocks(segments []topo.PromptSegment) bool {
+// Blocks reports whether a call must not be sent to an upstream.
+func (t *Table) Blocks(call *topo.CallSpec) bool {
 	if len(t.records) == 0 {
 		return false
 	}
-	return t.blocks(shared(segments))
+	return t.blocks(parts(call))
 }
 
 func (t *Table) blocks(ids []uint64) bool {
@@ -119,8 +147,8 @@
 }
 
 // Probe reports whether a call that Blocks rejects may be sent to test its quarantine, and counts it as that test.
-func (t *Table) Probe(now time.Time, segments []topo.PromptSegment) bool {
-	ids := shared(segments)
+func (t *Table) Probe(now time.Time, call *topo.CallSpec) bool {
+	ids := parts(call)
 	var due []*quarantine
 	for _, q := range t.records {
 		if !q.blocks(ids) {
@@ -178,6 +206,7 @@
 func (t *Table) narrow(now time.Time, q *quarantine) {
 	var cleared, rest []uint64
 	for _, id := range q.Segments {
+		t.recallServed(id)
 		if e := t.known(id); e != nil && e.cleared(now) {
 			cleared = append(cleared, id)
 		} else {
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -30,12 +30,12 @@
 	os.Exit(m.Run())
 }
 
-func prompt(ids ...uint64) []topo.PromptSegment {
-	var out []topo.PromptSegment
+func prompt(ids ...uint64) *topo.CallSpec {
+	var out topo.CallSpec
 	for _, id := range ids {
-		out = append(out, topo.PromptSegment{ID: id, Tokens: 100})
+		out.Segments = append(out.Segments, topo.PromptSegment{ID: id, Tokens: 100})
 	}
-	return out
+	return &out
 }
 
 // step is one observation: a call that was served, or under which an engine broke.
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -27,8 +27,8 @@
 	if left <= 0 {
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
-	if !p.probe && s.Poison.Blocks(p.Spec.Segments) {
-		return s.reject(p, ReasonQuarantine, maxRetryAfter)
+	if !p.probe && s.Poison.Blocks(&p.Spec) {
+		return s.reject(p, ReasonQuarantine, QuarantineRetryAfter)
 	}
 	if dec, ok := s.waitForAdapter(now, p); ok {
 		return dec
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/figreel/figreel/internal/topo"
@@ -51,7 +50,7 @@
 }
 
 // instanceName identifies the engine process since its last start.
-func (e *engine) instanceName() string { return e.ID + "@" + strconv.FormatInt(e.Boot, 10) }
+func (e *engine) instanceName() string { return topo.Instance{ID: e.ID, Boot: e.Boot}.String() }
 
 // setModels applies the resident models and adapters that the engine reports, and its adapter loads in progress. It
 // reports whether the resident or loading models have changed.
--- a/internal/sched/poison_test.go
+++ b/internal/sched/poison_test.go
@@ -17,9 +17,13 @@
 	tenantSegment = 10 // the first of tenants
 	deadlySegment = 2
 	tenants       = 6
-	// After maxCrashes crashes, at most maxLate more calls with the segment may be sent.
-	maxCrashes = 5
-	maxLate    = 3
+	// After maxCrashes crashes, at most maxLate more calls with the segment may be sent; maxRequestCrashes applies to a
+	// request.
+	maxCrashes        = 5
+	maxRequestCrashes = 3
+	maxLate           = 3
+	// deadlyRequest is a request that comes again and crashes engines.
+	deadlyRequest = 7
 )
 
 // crashRun is a run of calls at engines that crash when they begin to respond to a call with deadlySegment.
@@ -39,6 +43,7 @@
 type crashCall struct {
 	req     sched.Request
 	deadly  bool
+	late    bool // it crashes its engine after the first event
 	retry   int
 	grant   sched.Grant
 	firstAt time.Time
@@ -89,11 +94,13 @@
 
 func (r *crashRun) advanceCall(c *crashCall) {
 	switch {
-	case !c.started && !r.now.Before(c.firstAt) && c.deadly:
+	case !c.started && !r.now.Before(c.firstAt) && c.deadly && !c.late:
 		r.crash(c.grant.Engine)
 	case !c.started && !r.now.Before(c.firstAt):
 		c.started = true
 		r.s.FirstEvent(r.now, c.grant.Ticket)
+	case !r.now.Before(c.endAt) && c.deadly:
+		r.crash(c.grant.Engine)
 	case !r.now.Before(c.endAt):
 		r.running = slices.DeleteFunc(r.running, func(o *crashCall) bool { return o == c })
 		r.s.Release(r.now, c.grant.Ticket, sched.Served)
@@ -139,31 +146,69 @@
 				ids := []uint64{systemSegment, tenantSegment + rng.Uint64N(tenants)}
 				if c.deadly {
 					ids = append(ids, deadlySegment)
-				} else {
-					r.sound++
 				}
 				c.req = call(fmt.Sprint("c", i), 900, append(ids, 1000+i)...)
-				c.req.TargetLatency = time.Second
-				r.send(c)
-				for range 4 {
-					r.advance(10 * time.Millisecond)
-				}
+				r.sendNext(c)
 			}
-			if len(r.crashes) > maxCrashes+maxLate {
-				t.Errorf("%d engines crashed", len(r.crashes))
-			}
-			late := 0
-			for _, at := range r.sent {
-				if len(r.crashes) >= maxCrashes && at.After(r.crashes[maxCrashes-1]) {
-					late++
+			r.check(t, maxCrashes)
+		})
+	}
+}
+
+// Guards against one request that comes again, with segments that sound calls have too, and crashes one engine after the
+// other: before its first event, or later.
+func TestRequestThatCrashesEngines(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			r := &crashRun{s: newScheduler(18), now: start, engines: upstreams(18), backAt: make(map[string]time.Time)}
+			for i := range uint64(40 * 25) {
+				c := &crashCall{deadly: i > 80 && rng.Float64() < 0.05, late: seed%2 == 1}
+				tenant, session := tenantSegment+rng.Uint64N(tenants), 1000+i
+				if c.deadly {
+					tenant, session = tenantSegment, 1000
 				}
+				c.req = call(fmt.Sprint("c", i), 900, systemSegment, tenant, session)
+				c.req.Spec.Request = 1000 + i
+				if c.deadly {
+					c.req.Spec.Request = deadlyRequest
+				}
+				r.sendNext(c)
 			}
-			if late > maxLate {
-				t.Errorf("%d calls with the segment were sent after crash %d", late, maxCrashes)
-			}
-			if r.rejected > r.sound/50 {
-				t.Errorf("%d of %d sound calls were rejected", r.rejected, r.sound)
-			}
+			r.check(t, maxRequestCrashes)
 		})
 	}
 }
+
+// sendNext sends a call and lets 40 ms pass.
+func (r *crashRun) sendNext(c *crashCall) {
+	if !c.deadly {
+		r.sound++
+	}
+	c.req.TargetLatency = time.Second
+	r.send(c)
+	for range 4 {
+		r.advance(10 * time.Millisecond)
+	}
+}
+
+// check fails the test if too many engines crashed, too many deadly calls were sent after the first crashes, or too many
+// sound calls were rejected.
+func (r *crashRun) check(t *testing.T, crashes int) {
+	t.Helper()
+	if len(r.crashes) > crashes+maxLate {
+		t.Errorf("%d engines crashed", len(r.crashes))
+	}
+	late := 0
+	for _, at := range r.sent {
+		if len(r.crashes) >= crashes && at.After(r.crashes[crashes-1]) {
+			late++
+		}
+	}
+	if late > maxLate {
+		t.Errorf("%d deadly calls were sent after crash %d", late, crashes)
+	}
+	if r.rejected > r.sound/50 {
+		t.Errorf("%d of %d sound calls were rejected", r.rejected, r.sound)
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -97,6 +97,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry time of a rejected call.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// QuarantineRetryAfter is the retry time of a quarantined call.
+	QuarantineRetryAfter = maxRetryAfter
 )
 
 // Scheduler assigns calls to the engines of all services; the zero value is ready for use.
@@ -267,7 +269,7 @@
 	}
 	p := newPending(now, q)
 	// Only the host that places models tests a quarantine, so that a fleet does not test it all at once.
-	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(q.Spec.Segments) && s.Poison.Probe(now, q.Spec.Segments)
+	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(&q.Spec) && s.Poison.Probe(now, &q.Spec)
 	p.prefill = s.unsharedPrefill(&q.Spec)
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
@@ -388,15 +390,15 @@
 	case Canceled:
 	case Served:
 		e.failures = 0
-		s.Poison.Served(now, t.request.Spec.Segments)
+		s.Poison.Served(now, &t.request.Spec)
 	case NotResident:
 		if k := t.adapterKey(); k.Name != "" {
 			delete(e.adapters, k)
 		}
 		e.notResidentUntil[t.request.Spec.Model] = now.Add(notResidentTime)
 	case Failed, Broken:
-		if outcome == Broken && !t.firstEvent {
-			s.Poison.Broken(now, t.granted, e.instanceName(), t.request.Spec.Segments)
+		if outcome == Broken {
+			s.addBroken(now, t)
 		}
 		e.failures++
 		e.backoffUntil = now.Add(min(initialBackoff<<min(e.failures-1, 8), maxBackoff))
@@ -406,6 +408,16 @@
 	}
 }
 
+// addBroken records that an engine broke under a call. A call that has got an event says nothing of its segments,
+// because an engine that a segment crashes sends none, but the same request may crash engines later too.
+func (s *Scheduler) addBroken(now time.Time, t *ticket) {
+	call := t.request.Spec
+	if t.firstEvent {
+		call = topo.CallSpec{Request: call.Request}
+	}
+	s.Poison.Broken(now, t.granted, t.engine.instanceName(), &call)
+}
+
 // Calls returns the number of tickets for a model on an engine.
 func (s *Scheduler) Calls(id, model string) int {
 	if e := s.engines[id]; e != nil {
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -1,6 +1,9 @@
 package topo
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 type (
 	// CallSpec is what a call requires from an engine.
@@ -98,3 +101,6 @@
 	}
 	return c.PromptTokens
 }
+
+// String returns the ID and the start of the instance.
+func (i Instance) String() string { return i.ID + "@" + strconv.FormatInt(i.Boot, 10) }
