Answer calls that are in flight when a stopping host ends

Cause: when the grace period ends, the server for callers was closed with all its connections. A call that waited for an engine, that an upstream was still executing, or that was read at that moment got no response. Change: the calls in flight are ended first. One that no upstream can have executed is rejected with a time to retry after, any other gets 504, and a stream that has begun is cut as before. The server then waits for these responses for up to 0.25 s.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,7 +30,7 @@
 	for {
 		decision, err := c.s.Tickets.RequestTicket(c.ctx, c.ticketRequest())
 		if err != nil {
-			c.finishWithoutResponse(reasonDeadline)
+			c.finishWithoutResponse(c.timeoutReason())
 			return
 		}
 		if decision.Kind == sched.Rejected {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -341,7 +341,7 @@
 		return c.abort()
 	}
 	if c.ctx.Err() != nil {
-		c.fail(http.StatusGatewayTimeout, reasonDeadline)
+		c.fail(http.StatusGatewayTimeout, c.timeoutReason())
 		return completed
 	}
 	if c.route.Retryable() && c.attempts < c.route.MaxAttempts {
@@ -376,7 +376,7 @@
 	case !c.mayHaveExecuted:
 		c.reject(reason, retryAfter)
 	case c.ctx.Err() != nil:
-		c.fail(http.StatusGatewayTimeout, reasonDeadline)
+		c.fail(http.StatusGatewayTimeout, c.timeoutReason())
 	default:
 		c.fail(http.StatusBadGateway, reason)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	Stopping func() (closing, rejecting bool)
 
 	inFlight atomic.Int64
+	endOnce  sync.Once
+	end      context.Context // done when all calls must end
+	endCalls context.CancelFunc
 }
 
 // load returns the load that an upstream states in its response, or nil. A malformed statement is counted and ignored.
@@ -117,6 +121,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.ending(), cancel)()
 	c.ctx = ctx
 	s.RetryBudget.Earn(c.service)
 	if c.spec.Model != "" {
@@ -134,6 +139,27 @@
 	}
 }
 
+// EndCalls ends all calls in flight, because the process is about to exit. Those that have got nothing of a response are
+// rejected, or told that their outcome is unknown if an upstream may have executed them.
+func (s *Server) EndCalls() {
+	s.ending()
+	s.endCalls()
+}
+
+// ending returns the context that is done when all calls must end.
+func (s *Server) ending() context.Context {
+	s.endOnce.Do(func() { s.end, s.endCalls = context.WithCancel(context.Background()) })
+	return s.end
+}
+
+// timeoutReason returns why the context of the call is done.
+func (c *call) timeoutReason() string {
+	if c.s.ending().Err() != nil {
+		return reasonStopping
+	}
+	return reasonDeadline
+}
+
 // InFlight returns the number of calls that have not ended.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,8 @@
 	rejectAfter = 2800 * time.Millisecond
 	// idlePeriod is the time without calls after which a stopping host may end early.
 	idlePeriod = 1500 * time.Millisecond
+	// closeTime is how long calls that end with the host may take to get their responses. It is shorter than stopMargin.
+	closeTime = 250 * time.Millisecond
 	// minStop is the minimum time before a stopping host ends, for callers that have not learned that it stops.
 	minStop = 3500 * time.Millisecond
 	// maxHeaderBytes and headerTimeout limit a request's header, idleTimeout an idle connection of a caller. They are
@@ -63,6 +65,7 @@
 	tickets       *ticketService
 	reconciler    *reconciler
 	entry         *entry.Server
+	closeCallers  func() // closes the server for callers and waits until that is done
 	stoppingSince atomic.Int64 // boot time of the stop signal, 0 before
 	lastCall      atomic.Int64 // boot time of the last call since the stop signal
 }
@@ -86,6 +89,7 @@
 		}
 	}
 	h.stop(ctx)
+	h.closeCallers()
 	h.Log.Info().Int64("in_flight", h.entry.InFlight()).Msg("host stopped")
 	return nil
 }
@@ -150,6 +154,12 @@
 		}
 		go h.cache.run(ctx, prefix, watchesStore)
 	}
+	callersCtx, closeCallers := context.WithCancel(ctx)
+	callersClosed := make(chan struct{})
+	h.closeCallers = func() {
+		closeCallers()
+		<-callersClosed
+	}
 	servers := []func() error{
 		func() error { return link.Listen(ctx, h.Settings.Link, h.serveConn) },
 		func() error {
@@ -158,7 +168,10 @@
 				Addresses: h.addresses,
 			})
 		},
-		func() error { return h.serveCallers(ctx) },
+		func() error {
+			defer close(callersClosed)
+			return h.serveCallers(callersCtx)
+		},
 	}
 	for _, f := range servers {
 		go func() {
@@ -169,6 +182,7 @@
 	}
 }
 
+// serveCallers serves callers until ctx ends. Calls that have been read by then get their responses before it returns.
 func (h *Host) serveCallers(ctx context.Context) error {
 	lc := net.ListenConfig{KeepAliveConfig: h1.KeepAlive()}
 	l, err := lc.Listen(ctx, "tcp4", h.Settings.Front)
@@ -179,13 +193,29 @@
 		Handler: h.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
 	}
-	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		h.closeServer(srv)
+	})
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve callers")
 	}
+	<-closed
 	return nil
 }
 
+// closeServer ends all calls and closes the server when they have got their responses, or after closeTime.
+func (h *Host) closeServer(srv *http.Server) {
+	h.entry.EndCalls()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		h.Log.Info().Err(err).Int64("in_flight", h.entry.InFlight()).Msg("connections of callers closed")
+		_ = srv.Close()
+	}
+}
+
 // updateScheduler passes the active configuration and the upstreams to the scheduler.
 func (h *Host) updateScheduler() {
 	c := h.cache.Config()
