--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -49,6 +49,8 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrNoResponse means that the request was sent but no valid response arrived, so it may have been executed.
 	ErrNoResponse = errors.New("no valid response")
+	// ErrBodyTooLong means that the body of a response is longer than its reader allows.
+	ErrBodyTooLong = errors.New("response body is too long")
 )
 
 type (
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -42,7 +42,7 @@
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(b)) > limit {
-		err = errors.Errorf("response body is longer than %d bytes", limit)
+		err = errors.Wrapf(ErrBodyTooLong, "more than %d bytes", limit)
 	}
 	if err != nil {
 		r.Close()
