--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -121,7 +121,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	defer context.AfterFunc(s.ending(), cancel)()
+	stop := context.AfterFunc(s.ending(), cancel)
+	defer stop()
 	c.ctx = ctx
 	s.RetryBudget.Earn(c.service)
 	if c.spec.Model != "" {
@@ -139,8 +140,8 @@
 	}
 }
 
-// EndCalls ends all calls in flight, because the process is about to exit. Those that have got nothing of a response are
-// rejected, or told that their outcome is unknown if an upstream may have executed them.
+// EndCalls ends all calls in flight, because the process is about to exit. Those that have got nothing of a response
+// are rejected, or told that their outcome is unknown if an upstream may have executed them.
 func (s *Server) EndCalls() {
 	s.ending()
 	s.endCalls()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,7 +36,8 @@
 	rejectAfter = 2800 * time.Millisecond
 	// idlePeriod is the time without calls after which a stopping host may end early.
 	idlePeriod = 1500 * time.Millisecond
-	// closeTime is how long calls that end with the host may take to get their responses. It is shorter than stopMargin.
+	// closeTime is how long calls that end with the host may take to get their responses; it is shorter than
+	// stopMargin.
 	closeTime = 250 * time.Millisecond
 	// minStop is the minimum time before a stopping host ends, for callers that have not learned that it stops.
 	minStop = 3500 * time.Millisecond
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -56,8 +56,8 @@
 	t.Fatalf("no server at %s", addr)
 }
 
-// Guards against calls that are cut off without a response when a host ends at the end of a planned stop: one that waits
-// for an engine, and one that an upstream is still executing.
+// Guards against calls that are cut off without a response when a host ends at the end of a planned stop: one that
+// waits for an engine, and one that an upstream is still executing.
 func TestCallsAtEndOfStop(t *testing.T) {
 	silent := listenLocal(t)
 	taken := make(chan struct{}, 1)
@@ -77,8 +77,9 @@
 	}
 	for _, name := range []string{"plain", "model"} {
 		cfg.Routes = append(cfg.Routes, topo.Route{
-			Name: name, Host: "svc.example", PathPrefix: "/" + name + "/", Kind: topo.NonIdempotent, Timeout: 30 * time.Second,
-			MaxAttempts: 1, TrafficSplit: []topo.WeightedService{{Service: name, Weight: 1}},
+			Name: name, Host: "svc.example", PathPrefix: "/" + name + "/", Kind: topo.NonIdempotent,
+			Timeout: 30 * time.Second, MaxAttempts: 1,
+			TrafficSplit: []topo.WeightedService{{Service: name, Weight: 1}},
 		})
 	}
 	for _, tt := range []struct {
@@ -94,12 +95,15 @@
 			front := l.Addr().String()
 			_ = l.Close()
 			h := &Host{Settings: Settings{Front: front}, Log: zerolog.Nop()}
-			upstream := &topo.Upstream{ID: "u1", Addr: silent.Addr().String()}
+			upstreams := []*topo.Upstream{{ID: "u1", Addr: silent.Addr().String()}}
 			h.entry = &entry.Server{
-				Headers:   entry.Headers{ID: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", RetryAfter: "Retry-After"},
+				Headers: entry.Headers{
+					ID: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", RetryAfter: "Retry-After",
+				},
 				ParseSpec: func(http.Header) (topo.CallSpec, error) { return topo.CallSpec{Model: "m"}, nil },
-				Config:    func() *topo.Config { return cfg }, Pool: &h1.Pool{}, Tickets: noTickets(taken), RetryBudget: noTickets(nil),
-				Balancer: &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return []*topo.Upstream{upstream} }},
+				Config:    func() *topo.Config { return cfg }, Pool: &h1.Pool{},
+				Tickets: noTickets(taken), RetryBudget: noTickets(nil),
+				Balancer: &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return upstreams }},
 				Stats:    &stats.Set{}, Log: zerolog.Nop(), Stopping: func() (bool, bool) { return true, false },
 			}
 			ctx, cancel := context.WithCancel(context.Background())
