--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -66,7 +66,7 @@
 	tickets       *ticketService
 	reconciler    *reconciler
 	entry         *entry.Server
-	closeCallers  func() // closes the server for callers and waits until that is done
+	closeCallers  func()       // closes the server for callers and waits until that is done
 	stoppingSince atomic.Int64 // boot time of the stop signal, 0 before
 	lastCall      atomic.Int64 // boot time of the last call since the stop signal
 }
