Add case 2 of the review: a late order overfills an engine that has restarted

The outcome of an order to the boot before is forgotten when an engine starts again under its id, so the late order finds the sequence that it expects on a full engine.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -18,9 +19,10 @@
 	adapterSlots = 5
 	slots        = 64
 	kvTokens     = 252_855
-	// loadTime is the time of a load from the weight store, adapterTime that of an adapter, firstTime the time to the
-	// first event of a stream and gapTime that between two events.
+	// loadTime is the time of a load from the weight store, diskTime that from the machine's disk, adapterTime that of
+	// an adapter, firstTime the time to the first event of a stream and gapTime that between two events.
 	loadTime    = 2800 * time.Millisecond
+	diskTime    = 560 * time.Millisecond
 	adapterTime = 5 * time.Millisecond
 	firstTime   = 30 * time.Millisecond
 	gapTime     = 10 * time.Millisecond
@@ -35,12 +37,21 @@
 		store                   *store
 		rec                     *record
 
+		// onOrder may keep an order from being carried out now; the order then gets no answer. It may be nil.
+		onOrder func(*order) (lost bool)
+
+		listener net.Listener
+		server   *http.Server
+
 		mu       sync.Mutex
 		models   map[string]map[string]bool // adapters by model
+		disk     map[string]bool            // models whose weights are on the machine's disk
 		incoming map[string]bool
 		busy     bool
+		loading  string // the model that an order is loading
 		sequence int64
 		running  int
+		overfull string // the order that did not fit, if there was one
 	}
 
 	order struct {
@@ -59,23 +70,53 @@
 	}
 )
 
-// start serves the engine on a free port and registers it in the store.
+// start serves the engine, on a free port if it has none yet, and registers it in the store.
 func (e *engine) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr := e.addr
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	e.addr = l.Addr().String()
-	e.incoming = make(map[string]bool)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /figreel/report", e.report)
 	mux.HandleFunc("POST /figreel/order", e.order)
 	mux.HandleFunc("/", e.serve)
-	go func() { _ = http.Serve(l, mux) }() //nolint:gosec // ends with the process
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: deadline}
+	e.mu.Lock()
+	e.addr, e.born = l.Addr().String(), time.Now().UnixMilli()
+	e.incoming = make(map[string]bool)
+	if e.disk == nil {
+		e.disk = make(map[string]bool)
+		for name := range e.models {
+			e.disk[name] = true
+		}
+	}
+	e.listener, e.server = l, srv
+	e.mu.Unlock()
+	go func() { _ = srv.Serve(l) }()
 	e.register()
 	return nil
 }
 
+// crash ends all connections of the engine and all that it holds but its disk; its counts start anew.
+func (e *engine) crash() {
+	_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.models, e.busy, e.loading, e.sequence = make(map[string]map[string]bool), false, "", 0
+}
+
+// has reports whether the engine holds or loads a model.
+func (e *engine) has(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, held := e.models[model]
+	return held || e.loading == model
+}
+
 func (e *engine) held() []heldModel {
 	out := make([]heldModel, 0, len(e.models))
 	for name, adapters := range e.models {
@@ -90,12 +131,19 @@
 	return out
 }
 
+// available returns the copies of weights that the machine keeps. The caller holds e.mu.
+func (e *engine) available() map[string]any {
+	disk := slices.Sorted(maps.Keys(e.disk))
+	return map[string]any{"in_memory": []string{}, "on_disk": append([]string{}, disk...)}
+}
+
 // register writes the engine's entry.
 func (e *engine) register() {
 	e.mu.Lock()
 	entry := map[string]any{
 		"service": e.service, "address": e.addr, "zone": e.zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_left_ms": 0, "stage": "both", "models": e.held(), "sequence": e.sequence, "born": e.born,
+		"available": e.available(),
 	}
 	e.mu.Unlock()
 	e.store.put("servers/"+e.id, entry)
@@ -113,6 +161,7 @@
 	body := map[string]any{
 		"stage": "both", "models": e.held(), "busy": e.busy, "sequence": e.sequence, "waiting": 0, "running": e.running,
 		"kv_used": 0, "kv_total": kvTokens, "handles": 0, "incoming": incoming, "born": e.born,
+		"available": e.available(),
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, body)
@@ -143,6 +192,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.onOrder != nil && e.onOrder(&o) {
+		<-r.Context().Done()
+		return
+	}
 	status := e.take(&o)
 	e.rec.printf("order %s from %s, generation %d: %s %s %s, status %d", e.id, o.Holder, *o.Fence, o.Operation, o.Model,
 		o.Adapter, status)
@@ -168,19 +221,36 @@
 	if o.Adapter != "" {
 		return e.takeAdapter(o, adapters)
 	}
-	e.busy = true
 	unload := o.Operation == "unloading"
+	if used := float64(len(e.models)+1) * modelMB; !unload && used > engineMB && e.overfull == "" {
+		held := strings.Join(slices.Sorted(maps.Keys(e.models)), " ")
+		e.overfull = fmt.Sprintf("%s holds %s and is ordered by %s to load %s: %.0f MB of %.0f MB", e.id, held,
+			o.Holder, o.Model, used, engineMB)
+	}
+	e.busy = true
+	if !unload {
+		e.loading = o.Model
+	}
 	d := loadTime
-	if unload {
+	switch {
+	case unload:
 		d = gapTime
+	case e.disk[o.Model]:
+		d = diskTime
 	}
+	born := e.born
 	time.AfterFunc(d, func() {
 		e.mu.Lock()
-		e.busy = false
+		if e.born != born {
+			e.mu.Unlock()
+			return
+		}
+		e.busy, e.loading = false, ""
 		if unload {
 			delete(e.models, o.Model)
 		} else {
 			e.models[o.Model] = make(map[string]bool)
+			e.disk[o.Model] = true
 		}
 		e.mu.Unlock()
 		e.register()
--- a/review/stand/leader.go
+++ b/review/stand/leader.go
@@ -23,7 +23,12 @@
 // store for the fleet, stands still for less than half a second. Then consumers ask for models and adapters that no
 // engine holds yet. The rule Starved is judged over all that consumers have asked for.
 func pauseBesideStop(ctx context.Context, s *site) (broken bool, err error) {
-	defer s.rec.printf("end")
+	for a := 1; a <= 6; a++ {
+		s.absent = append(s.absent, fmt.Sprintf("%s/a%d", modelName(a), a))
+	}
+	for a := 7; a <= 10; a++ {
+		s.probes = append(s.probes, fmt.Sprintf("%s/a%d", modelName(0), a))
+	}
 	go s.consumers.resolve(ctx)
 	base, baseEnds := context.WithCancel(ctx)
 	go s.consumers.demand(base, time.Second, s.resident)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,6 +16,17 @@
 	timeLimit = 110 * time.Second
 )
 
+// play is one case and the size of its deployment: engines, models that each holds at first, and all models.
+type play struct {
+	run                   func(context.Context, *site) (bool, error)
+	engines, held, models int
+}
+
+var cases = map[string]play{
+	"pause-beside-stop":   {pauseBesideStop, 4, 2, 11},
+	"order-after-restart": {orderAfterRestart, 4, 3, 15},
+}
+
 // site is one small deployment.
 type site struct {
 	store     *store
@@ -36,9 +47,8 @@
 }
 
 func run(file, name string) int {
-	cases := map[string]func(context.Context, *site) (bool, error){"pause-beside-stop": pauseBesideStop}
-	play := cases[name]
-	if play == nil {
+	play, known := cases[name]
+	if !known {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
 		return exitNotRun
 	}
@@ -56,7 +66,7 @@
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
-	s, err := newSite(dir, rec)
+	s, err := newSite(dir, rec, play.engines, play.held, play.models)
 	if err != nil {
 		rec.say("%v", err)
 		return exitNotRun
@@ -66,7 +76,7 @@
 		rec.say("%v", err)
 		return exitNotRun
 	}
-	broken, err := play(ctx, s)
+	broken, err := play.run(ctx, s)
 	switch {
 	case err != nil:
 		rec.say("the case could not run: %v", err)
@@ -79,17 +89,17 @@
 	return exitHeld
 }
 
-// newSite starts the stand-ins of a deployment: three zones of two machines, and four engines. Each engine holds two of
-// the eleven models and has a place for a third one.
-func newSite(dir string, rec *record) (*site, error) {
+// newSite starts the stand-ins of a deployment: three zones of two machines, and engines. Each engine holds some of the
+// models; it has places for three.
+func newSite(dir string, rec *record, engines, held, models int) (*site, error) {
 	s := &site{store: newStore(), rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	zones := []string{"a", "b", "c"}
-	for i := range 4 {
+	for i := range engines {
 		e := &engine{
-			id: fmt.Sprintf("i-%d", i), zone: zones[i%3], service: "desk", born: time.Now().UnixMilli(), store: s.store,
-			rec: rec, models: make(map[string]map[string]bool),
+			id: fmt.Sprintf("i-%d", i), zone: zones[i%3], service: "desk", store: s.store, rec: rec,
+			models: make(map[string]map[string]bool),
 		}
-		for m := 2 * i; m < 2*i+2; m++ {
+		for m := held * i; m < held*(i+1); m++ {
 			e.models[modelName(m)] = make(map[string]bool)
 			s.resident = append(s.resident, modelName(m))
 		}
@@ -98,16 +108,10 @@
 			return nil, err
 		}
 	}
-	for m := 8; m < 11; m++ {
+	for m := engines * held; m < models; m++ {
 		s.absent = append(s.absent, modelName(m))
 	}
-	for a := 1; a <= 6; a++ {
-		s.absent = append(s.absent, fmt.Sprintf("%s/a%d", modelName(a), a))
-	}
-	for a := 7; a <= 10; a++ {
-		s.probes = append(s.probes, fmt.Sprintf("%s/a%d", modelName(0), a))
-	}
-	s.store.put("op/config", configuration())
+	s.store.put("op/config", configuration(models))
 	var err error
 	s.fleet, err = newFleet(dir, s.store, rec, zones, 2)
 	if err != nil {
@@ -119,10 +123,10 @@
 
 func modelName(i int) string { return fmt.Sprintf("m%d", i) }
 
-// configuration returns the operator's configuration: one service of engines with eleven models.
-func configuration() map[string]any {
-	models := make([]map[string]any, 0, 11)
-	for i := range 11 {
+// configuration returns the operator's configuration: one service of engines.
+func configuration(n int) map[string]any {
+	models := make([]map[string]any, 0, n)
+	for i := range n {
 		models = append(models, map[string]any{
 			"name": modelName(i), "weights_mb": modelMB, "load_s": loadTime.Seconds(), "disk_s": 0.56, "warm_s": 0.32,
 			"adapters": 16, "adapter_mb": adapterMB,
