Add case 3 of the review: bodies without end take hosts past their memory

Each response of a plain service is read into memory up to 16 MiB with no bound over all calls, so the platform kills the processes of the hosts.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,15 +16,17 @@
 	timeLimit = 110 * time.Second
 )
 
-// play is one case and the size of its deployment: engines, models that each holds at first, and all models.
+// play is one case and the size of its deployment: machines in each of three zones, engines, models that each holds at
+// first, and all models.
 type play struct {
-	run                   func(context.Context, *site) (bool, error)
-	engines, held, models int
+	run                             func(context.Context, *site) (bool, error)
+	machines, engines, held, models int
 }
 
 var cases = map[string]play{
-	"pause-beside-stop":   {pauseBesideStop, 4, 2, 11},
-	"order-after-restart": {orderAfterRestart, 4, 3, 15},
+	"pause-beside-stop":   {pauseBesideStop, 2, 4, 2, 11},
+	"order-after-restart": {orderAfterRestart, 2, 4, 3, 15},
+	"endless-body":        {endlessBody, 2, 4, 3, 12},
 }
 
 // site is one small deployment.
@@ -66,7 +68,7 @@
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
-	s, err := newSite(dir, rec, play.engines, play.held, play.models)
+	s, err := newSite(dir, rec, &play)
 	if err != nil {
 		rec.say("%v", err)
 		return exitNotRun
@@ -89,17 +91,17 @@
 	return exitHeld
 }
 
-// newSite starts the stand-ins of a deployment: three zones of two machines, and engines. Each engine holds some of the
+// newSite starts the stand-ins of a deployment: machines in three zones, and engines. Each engine holds some of the
 // models; it has places for three.
-func newSite(dir string, rec *record, engines, held, models int) (*site, error) {
+func newSite(dir string, rec *record, p *play) (*site, error) {
 	s := &site{store: newStore(), rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	zones := []string{"a", "b", "c"}
-	for i := range engines {
+	for i := range p.engines {
 		e := &engine{
 			id: fmt.Sprintf("i-%d", i), zone: zones[i%3], service: "desk", store: s.store, rec: rec,
 			models: make(map[string]map[string]bool),
 		}
-		for m := held * i; m < held*(i+1); m++ {
+		for m := p.held * i; m < p.held*(i+1); m++ {
 			e.models[modelName(m)] = make(map[string]bool)
 			s.resident = append(s.resident, modelName(m))
 		}
@@ -108,12 +110,12 @@
 			return nil, err
 		}
 	}
-	for m := engines * held; m < models; m++ {
+	for m := p.engines * p.held; m < p.models; m++ {
 		s.absent = append(s.absent, modelName(m))
 	}
-	s.store.put("op/config", configuration(models))
+	s.store.put("op/config", configuration(p.models))
 	var err error
-	s.fleet, err = newFleet(dir, s.store, rec, zones, 2)
+	s.fleet, err = newFleet(dir, s.store, rec, zones, p.machines)
 	if err != nil {
 		return nil, err
 	}
