Take old changes of the leader key for what they are

Cause: hosts get the changes of the store from two watch sources. The one that had paused reported the removal of the old leader key after the other one had reported the new key. The copy of the store skipped the old event, but passed all events to the elector, which knew only the era of what it had. On the new leader the removal set its fencing token to 0, on the others it made a vacancy; the key did not change any more, so no newer event followed, and every campaign was rejected. The leader record and the host's own registration took old events in the same way, and old lists too: campaigns with an old revision of the record, a lease dropped for a registration of an earlier process. Besides, changes went to the elector after the lock of the copy was released, so two sources could reach it in another order than the copy.

Change: the elector knows for each of its keys the version of the store as of which it knows the state, from events, lists and the responses to its own writes, and drops what is not newer. The copy passes on only what was new to it, in its own order. It is no special case: every source of every prefix goes through the same comparison.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -98,8 +98,16 @@
 		return retryDelay
 	}
 	e.mu.Lock()
-	changed := e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease.ID, Revision: as.Revision})
+	changed := false
+	if e.learn(leaderKey, as) && !e.isCurrent(value) {
+		changed = e.applyLeader(&store.Item{Key: leaderKey, Value: value, Lease: lease.ID, Revision: as.Revision})
+	}
+	leads := e.fence != 0
 	e.mu.Unlock()
+	if !leads {
+		e.Log.Warn().Int64("token", fencingToken(as)).Msg("leadership ended before the response to the campaign arrived")
+		return 0
+	}
 	e.Log.Info().Int64("token", fencingToken(as)).Str("last", last).Msg("became leader")
 	if changed {
 		e.LeadershipChanged(true)
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -74,22 +74,22 @@
 		leaseEnd        time.Duration // boot time at which the lease expires
 		registered      bool
 		registeredSince time.Duration // boot time at which the registration under this lease was confirmed
-		registeredAs    store.Version // version of the store with the registration
 		stillRegistered bool          // registered in an earlier era, to be registered again
 		leaving         bool          // Leave was called
 		era             eraState
-		storeFailing    bool          // the last call for the lease failed
-		failures        int           // consecutive failures of calls for the lease
-		retryAt         time.Duration // boot time before which no call for the lease is made
-		nonce           string        // identifies this host's leader records; new for each lease
-		current         *store.Item   // leader key as last seen in the store, or nil if it is missing
-		currentKnown    bool          // current was read from the store
-		vacantSince     time.Duration // boot time at which the leader key was first seen missing
-		firstVacancy    time.Duration // the same for the first leader whose orders may not have ended
-		lastLeader      Leader        // current or previous leader, from the leader record
-		recordRevision  int64         // revision of the leader record, 0 if there is none
-		fence           int64         // fencing token while this host is leader, else 0
-		token           int64         // fencing token of the leadership with tokenNonce
+		storeFailing    bool                     // the last call for the lease failed
+		failures        int                      // consecutive failures of calls for the lease
+		retryAt         time.Duration            // boot time before which no call for the lease is made
+		nonce           string                   // identifies this host's leader records; new for each lease
+		known           map[string]store.Version // version as of which the state of a key is known
+		current         *store.Item              // leader key as last seen in the store, or nil if it is missing
+		currentKnown    bool                     // current was read from the store
+		vacantSince     time.Duration            // boot time at which the leader key was first seen missing
+		firstVacancy    time.Duration            // the same for the first leader whose orders may not have ended
+		lastLeader      Leader                   // current or previous leader, from the leader record
+		recordRevision  int64                    // revision of the leader record, 0 if there is none
+		fence           int64                    // fencing token while this host is leader, else 0
+		token           int64                    // fencing token of the leadership with tokenNonce
 		tokenNonce      string
 		ordersFrom      time.Duration // boot time before which this leader must not send orders
 		handover        handover
@@ -369,8 +369,8 @@
 	defer e.mu.Unlock()
 	switch {
 	case err == nil:
-		if e.lease == lease {
-			e.registeredAs = as
+		// A later event may have reported the end of the lease before this response arrived.
+		if e.learn(HostPrefix+e.Self.Name, as) && e.lease == lease {
 			e.confirmRegistration()
 		}
 		return 0
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -428,3 +428,47 @@
 		})
 	}
 }
+
+// Guards against a host that takes an old change of the leader key, of the leader record or of its own registration for
+// the current state, because it gets the changes from several sources and one of them was suspended: the leader stops
+// acting and its key stays, a follower sees a vacancy and takes over too early, or campaigns are rejected without end.
+func TestOldChanges(t *testing.T) {
+	leaderGone := store.Event{Item: store.Item{Key: "figreel/seat", Revision: 1}, Deleted: true}
+	oldRecord := store.Event{Item: store.Item{Key: "figreel/term", Value: []byte(`{"host":"x"}`), Revision: 1}}
+	oldSelf := func(name string) store.Event {
+		return store.Event{Item: store.Item{Key: elect.HostPrefix + name, Value: []byte(`{}`), Revision: 1, Lease: 99}}
+	}
+	for _, tt := range []struct {
+		name  string
+		apply func(h *host)
+	}{
+		{"removal of the leader key", func(h *host) { h.Apply(0, []store.Event{leaderGone}) }},
+		{"leader record", func(h *host) { h.Apply(0, []store.Event{oldRecord}) }},
+		{"registration of the host", func(h *host) { h.Apply(0, []store.Event{oldSelf(h.Self.Name)}) }},
+		{"list of the empty store", func(h *host) { h.Replace(store.Version{}, nil) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			runTwoHosts(t, func(*host) (time.Duration, error) { return noResponse() }, func(t *testing.T, s *stub.Store, a, b *host) {
+				before, _ := a.Term()
+				for _, h := range []*host{a, b} {
+					tt.apply(h)
+					if l, ok := h.Leader(); !ok || l.Host != "a" {
+						t.Errorf("%s: leader %q, %v", h.Self.Name, l.Host, ok)
+					}
+				}
+				if !a.maySendOrders() {
+					t.Error("a may send no orders")
+				}
+				time.Sleep(3 * time.Second)
+				if after, leads := a.Term(); !leads || after.Token != before.Token {
+					t.Errorf("a leads: %v, token %d after %d", leads, after.Token, before.Token)
+				}
+				a.setPartitioned(true)
+				s.RemoveKey("figreel/seat")
+				if got := checkHandover(t, a, b, 12*time.Second); got < 0 {
+					t.Error("b never becomes leader")
+				}
+			})
+		})
+	}
+}
--- a/internal/elect/era.go
+++ b/internal/elect/era.go
@@ -142,12 +142,13 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := e.Store.Commit(ctx, t); err != nil {
+	as, err := e.Store.Commit(ctx, t)
+	if err != nil {
 		e.Log.Info().Err(err).Msg("failed to remove an outdated leader key")
 		return retryDelay
 	}
 	e.mu.Lock()
-	changed := e.applyLeader(nil)
+	changed := e.learn(leaderKey, as) && e.applyLeader(nil)
 	e.mu.Unlock()
 	if changed {
 		e.LeadershipChanged(false)
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -59,6 +60,10 @@
 	// now returns the boot time, which includes the time for which the machine is suspended.
 	now func() time.Duration
 
+	// delivery is held while a change is applied and passed on to the elector, so that it gets all changes in the order
+	// of the copy. It is locked before mu.
+	delivery sync.Mutex
+
 	mu          sync.Mutex
 	config      *topo.Config
 	states      map[string]*prefixState
@@ -296,16 +301,25 @@
 
 // replace replaces all items of a prefix unless the cache has a newer version.
 func (sc *storeCache) replace(l link.PrefixState, via string) {
+	if sc.replaceItems(l, via) {
+		sc.onChange()
+	}
+}
+
+// replaceItems is replace without the call of onChange; it reports whether the items were replaced.
+func (sc *storeCache) replaceItems(l link.PrefixState, via string) bool {
+	sc.delivery.Lock()
+	defer sc.delivery.Unlock()
 	sc.mu.Lock()
 	p := sc.states[l.Prefix]
 	if p == nil {
 		sc.mu.Unlock()
-		return
+		return false
 	}
 	sc.logVersion(p, l.Version(), via)
 	if l.Version().Compare(p.version) < 0 {
 		sc.mu.Unlock()
-		return
+		return false
 	}
 	restored := p.version.Revision > 0 && l.Era > p.version.Era
 	if restored {
@@ -337,21 +351,37 @@
 	if l.Prefix == elect.Prefix {
 		sc.elector.Replace(l.Version(), l.Items)
 	}
-	sc.onChange()
+	return true
 }
 
+// apply applies changes up to a version, except those that the cache has.
 func (sc *storeCache) apply(prefix string, events []store.Event, as store.Version, via string) {
+	if sc.applyEvents(prefix, events, as, via) {
+		sc.onChange()
+	}
+}
+
+// applyEvents is apply without the call of onChange; it reports whether there were any changes.
+func (sc *storeCache) applyEvents(prefix string, events []store.Event, as store.Version, via string) bool {
+	sc.delivery.Lock()
+	defer sc.delivery.Unlock()
 	sc.mu.Lock()
 	p := sc.states[prefix]
-	if as.Era != p.version.Era || as.Revision <= p.version.Revision && len(events) == 0 {
+	if p == nil || as.Era != p.version.Era {
 		sc.mu.Unlock()
-		return
+		return false
+	}
+	known := p.version.Revision
+	changes := slices.DeleteFunc(slices.Clone(events), func(e store.Event) bool { return e.Revision <= known })
+	if len(changes) < len(events) {
+		sc.stats.CountEvent("old_changes_dropped")
+	}
+	if as.Revision <= known && len(changes) == 0 {
+		sc.mu.Unlock()
+		return false
 	}
 	now, from := time.Now(), sc.origin(p, via)
-	for _, e := range events {
-		if e.Revision <= p.version.Revision {
-			continue
-		}
+	for _, e := range changes {
 		if e.Deleted {
 			sc.remove(now, p, e.Key, e.Revision, from, false)
 			continue
@@ -361,12 +391,10 @@
 	p.version.Revision = max(p.version.Revision, as.Revision)
 	sc.notify()
 	sc.mu.Unlock()
-	if prefix == elect.Prefix {
-		sc.elector.Apply(as.Era, events)
-	}
-	if len(events) > 0 {
-		sc.onChange()
+	if prefix == elect.Prefix && len(changes) > 0 {
+		sc.elector.Apply(as.Era, changes)
 	}
+	return len(changes) > 0
 }
 
 // logVersion logs a list of another era than that of the copy, or of an older version.
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -38,6 +38,7 @@
 		relay   *watchRelay
 		cut     atomic.Bool // calls to the store get no response
 		silent  atomic.Bool // the host neither sends nor receives anything
+		slow    atomic.Bool // messages to other hosts are sent when this ends, as after a pause of the machine
 		fleet   *fleet
 		watched atomic.Bool // the host has called the store for the upstreams since the last reset
 	}
@@ -199,6 +200,9 @@
 	if c.a.silent.Load() || c.b.silent.Load() {
 		return len(b), nil
 	}
+	for c.a.slow.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
 	n, err := c.Conn.Write(b)
 	return n, errors.Wrap(err, "write")
 }
