Play random schedules in which old changes come again

Guards against the second effect of old changes of the leader key: a follower that took an old removal for a vacancy kept its time, and took over at the next vacancy without waiting for the orders of the leader before.

--- a/internal/elect/schedule_test.go
+++ b/internal/elect/schedule_test.go
@@ -50,6 +50,7 @@
 		started   time.Time
 		down      bool // the store answers nobody
 		restores  bool // the store comes back from older copies
+		repeats   bool // hosts get changes and lists again that they have had
 		copies    []*stub.Copy
 		orders    []simOrder
 	}
@@ -74,10 +75,18 @@
 		nextRead  time.Duration
 		version   store.Version
 		items     map[string]store.Item
+		past      []pastState     // changes and lists that the host has had
 		lapsed    map[string]bool // hosts that were registered before a restore
 		confirmed time.Duration   // when most hosts have confirmed the outage
 	}
 
+	// pastState is a list of all items, or the changes up to a version.
+	pastState struct {
+		as     store.Version
+		items  []store.Item
+		events []store.Event
+	}
+
 	simOrder struct {
 		at    time.Duration
 		host  string
@@ -223,6 +232,7 @@
 		return
 	}
 	h.nextRead = now + h.slow
+	h.repeat()
 	if !h.reachesStore() {
 		o := h.run.hosts[h.run.rng.IntN(len(h.run.hosts))]
 		if o.reachable(h) && h.reachable(o) && o.version.Compare(h.version) > 0 {
@@ -249,6 +259,7 @@
 		}
 	}
 	h.Apply(as.Era, events)
+	h.past = append(h.past, pastState{as: as, events: events})
 	if len(events) > 0 {
 		h.nextStep = 0
 	}
@@ -274,6 +285,20 @@
 	}
 	h.version, h.nextStep = as, 0
 	h.Replace(as, items)
+	h.past = append(h.past, pastState{as: as, items: items})
+}
+
+// repeat lets the host get a change or a list again, as from a source that was suspended.
+func (h *simHost) repeat() {
+	if !h.run.repeats || len(h.past) == 0 || h.run.rng.IntN(3) > 0 {
+		return
+	}
+	switch p := h.past[h.run.rng.IntN(len(h.past))]; {
+	case p.items != nil:
+		h.Replace(p.as, p.items)
+	default:
+		h.Apply(p.as.Era, p.events)
+	}
 }
 
 // probe asks the other hosts for their promises, or whether they reach the store.
@@ -423,14 +448,17 @@
 		name      string
 		extension extension
 		restores  bool
+		repeats   bool
 		runs      uint64
 		faulty    bool // two leaders are found in some run
 	}{
-		{"all hosts promise", allPromise, false, schedules, false},
-		{"no extension", noExtension, false, schedules / 10, false},
-		{"most hosts confirm an outage", mostConfirm, false, schedules / 10, true},
-		{"the store is restored", allPromise, true, schedules / 10, false},
-		{"the store is restored, no extension", noExtension, true, schedules / 20, false},
+		{"all hosts promise", allPromise, false, false, schedules, false},
+		{"no extension", noExtension, false, false, schedules / 10, false},
+		{"most hosts confirm an outage", mostConfirm, false, false, schedules / 10, true},
+		{"the store is restored", allPromise, true, false, schedules / 10, false},
+		{"the store is restored, no extension", noExtension, true, false, schedules / 20, false},
+		{"old changes come again", allPromise, false, true, schedules / 10, false},
+		{"old changes come again, the store is restored", noExtension, true, true, schedules / 20, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			found := make([]string, tt.runs)
@@ -444,6 +472,7 @@
 							synctest.Test(t, func(*testing.T) {
 								s := &schedule{
 									rng: rand.New(rand.NewPCG(seed, 7)), extension: tt.extension, restores: tt.restores,
+									repeats: tt.repeats,
 								}
 								found[seed], orders[seed] = s.play(), len(s.orders)
 							})
