List the leader records when campaigns are rejected again and again

Cause: a rejected campaign means that the copy is behind the store. The host waited for the change that says so without end, also if it never came.

Change: after four rejections in a row, one second, the host logs what version it knows and lists the leader key and record. The counter campaign_rejected counts each rejection, the gauges leader and leader_known show on each host whether it leads and whether it knows a leader. Any other way of missing a change of leader now ends within a second or so.

Evidence: TestCampaignsOnOutdatedCopy on the code before: leader "", 20 campaigns in 5 s although there is a leader.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -21,6 +21,9 @@
 	maxRanked         = 6
 	unrankedSpread    = 10 * time.Millisecond
 	maxUnrankedSpread = 2 * time.Second
+	// maxRejections is the number of consecutive campaigns that the store rejects after which this host lists the leader
+	// key and the leader record. The first ones are expected: another host was faster, and the change is on its way.
+	maxRejections = 4
 )
 
 // campaignDelay returns the time until this host should try to become leader, and false if there is a leader or the
@@ -87,7 +90,7 @@
 	})
 	switch {
 	case errors.Is(err, store.ErrConflict):
-		return retryDelay
+		return e.rejected(ctx)
 	case errors.Is(err, store.ErrRestored):
 		e.mu.Lock()
 		e.lease = store.Lease{}
@@ -114,3 +117,27 @@
 	}
 	return 0
 }
+
+// rejected returns the pause after a campaign that the store has rejected, because there is a leader or another leader
+// record. If the changes that say so do not arrive, it lists them.
+func (e *Elector) rejected(ctx context.Context) time.Duration {
+	e.mu.Lock()
+	e.rejections++
+	n, known := e.rejections, e.known[leaderKey]
+	e.mu.Unlock()
+	if e.CampaignRejected != nil {
+		e.CampaignRejected()
+	}
+	if n%maxRejections != 0 {
+		return retryDelay
+	}
+	e.Log.Warn().Int("rejections", n).Int64("known_era", known.Era).Int64("known_revision", known.Revision).
+		Msg("campaigns rejected, listing the leader records")
+	items, as, err := e.Store.List(ctx, Prefix)
+	if err != nil {
+		e.Log.Warn().Err(err).Msg("failed to list the leader records")
+		return retryDelay
+	}
+	e.Replace(as, items)
+	return retryDelay
+}
--- a/internal/elect/copy.go
+++ b/internal/elect/copy.go
@@ -159,7 +159,7 @@
 		e.current, e.fence = nil, 0
 		return fence != 0
 	}
-	e.current = it
+	e.current, e.rejections = it, 0
 	if t := decodeLeader(it.Value); t.Nonce != e.nonce || it.Lease != e.lease.ID || e.leaving {
 		e.fence = 0
 		return fence != 0
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -64,6 +64,8 @@
 		StoreReachable func()
 		// StoreLost is called when a call for the lease has failed after a success; nil does nothing.
 		StoreLost func()
+		// CampaignRejected is called when the store has rejected a campaign of this host; nil does nothing.
+		CampaignRejected func()
 		// Now returns the time since boot, including time in suspend; nil uses the system clock.
 		Now func() time.Duration
 
@@ -86,6 +88,7 @@
 		currentKnown    bool                     // current was read from the store
 		vacantSince     time.Duration            // boot time at which the leader key was first seen missing
 		firstVacancy    time.Duration            // the same for the first leader whose orders may not have ended
+		rejections      int                      // consecutive campaigns that the store has rejected
 		lastLeader      Leader                   // current or previous leader, from the leader record
 		recordRevision  int64                    // revision of the leader record, 0 if there is none
 		fence           int64                    // fencing token while this host is leader, else 0
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -472,3 +472,33 @@
 		})
 	}
 }
+
+// Guards against campaigns that are rejected without end by a host that has missed the change of leader.
+func TestCampaignsOnOutdatedCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer stopHosts(cancel)
+		s, started := &stub.Store{}, time.Now()
+		items, as, err := s.List(ctx, elect.Prefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start(ctx, s, "a", 0, noResponse)
+		time.Sleep(time.Second)
+		b := &elect.Elector{
+			Self: topo.Host{Name: "b"}, Store: s, Log: zerolog.Nop(), Rank: func(string) int { return 0 },
+			LeadershipChanged: func(bool) {}, Now: func() time.Duration { return time.Since(started) },
+		}
+		b.Replace(as, items)
+		go b.Run(ctx)
+		time.Sleep(3 * time.Second)
+		if l, ok := b.Leader(); !ok || l.Host != "a" {
+			t.Errorf("leader %q, %v", l.Host, ok)
+		}
+		before := s.Calls("commit")
+		time.Sleep(5 * time.Second)
+		if n := s.Calls("commit") - before; n > 0 {
+			t.Errorf("%d campaigns although there is a leader", n)
+		}
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,6 +119,12 @@
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
 	h.elector.StoreLost = h.cache.wakeWaiting
+	h.elector.CampaignRejected = func() { h.Stats.CountEvent("campaign_rejected") }
+	h.Stats.SetGaugeFunc("leader", func() int64 { return boolGauge(h.elector.IsLeader()) })
+	h.Stats.SetGaugeFunc("leader_known", func() int64 {
+		_, known := h.elector.Leader()
+		return boolGauge(known)
+	})
 	h.relay.promises.HandoverDelay = s.HandoverDelay
 	h.elector.PromisedUntil = h.relay.promises.Until
 	h.reconciler = &reconciler{
@@ -334,6 +340,13 @@
 	return out, min(addressTTL, h.Settings.AddressTTL)
 }
 
+func boolGauge(v bool) int64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
 func domainMatch(o topo.Host, domain string) int {
 	if o.Domain == domain {
 		return 1
--- a/internal/stats/set.go
+++ b/internal/stats/set.go
@@ -67,6 +67,11 @@
 	s.Gauges.Set(name, n)
 }
 
+// SetGaugeFunc makes f return the value of the gauge of this name each time it is read.
+func (s *Set) SetGaugeFunc(name string, f func() int64) {
+	s.Gauges.Set(name, expvar.Func(func() any { return f() }))
+}
+
 // Observe records a latency under a name such as class/first_token.
 func (s *Set) Observe(name string, d time.Duration) { s.observe(name, d, significantFigures) }
 
