Pass the newest upstreams to the scheduler when sources deliver at once

Change: the upstreams and the configuration are read while the scheduler is locked. The scheduler never calls back into the copy with that lock in the other order: the copy knows nothing of the tickets.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -223,16 +223,16 @@
 	}
 }
 
-// updateScheduler passes the active configuration and the upstreams to the scheduler.
+// updateScheduler passes the active configuration and the upstreams to the scheduler. It reads them while the scheduler
+// is locked, so that of two calls at once the later one passes the newer state.
 func (h *Host) updateScheduler() {
-	c := h.cache.Config()
-	if c == nil {
+	if h.cache.Config() == nil {
 		return
 	}
-	ups := h.cache.Upstreams("")
-	h.tickets.notices.SetListed(time.Now(), ups)
 	h.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) {
-		k.SetConfig(c)
+		ups := h.cache.Upstreams("")
+		h.tickets.notices.SetListed(now, ups)
+		k.SetConfig(h.cache.Config())
 		k.SetUpstreams(now, ups)
 	})
 }
--- a/internal/host/leader_test.go
+++ b/internal/host/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,7 +12,9 @@
 
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/topo"
 )
 
 const testLeaderKey = "figreel/seat"
@@ -110,3 +113,48 @@
 		}
 	}
 }
+
+// Guards against a scheduler that keeps an older list of upstreams than the copy, because two sources delivered changes
+// at the same moment: it would go on with an engine that has left until the next change.
+func TestSchedulerFollowsCopy(t *testing.T) {
+	const (
+		rounds   = 3000
+		sources  = 8
+		upstream = 50
+	)
+	sc := testCache(nil)
+	sc.platform.Config = func(store.Item) (*topo.Config, error) {
+		return &topo.Config{Version: 1, Services: map[string]topo.Service{"llm": {Engine: &topo.EngineSpec{}}}}, nil
+	}
+	h := &Host{cache: sc, tickets: testTickets()}
+	sc.onChange = h.updateScheduler
+	entry := func(i int, revision int64) store.Item {
+		return store.Item{Key: fmt.Sprint("up/e", i), Value: []byte("llm ready"), Revision: revision}
+	}
+	list := link.PrefixState{Prefix: "up/", Revision: 1}
+	for i := range upstream {
+		list.Items = append(list.Items, entry(i, 1))
+	}
+	sc.merge([]link.PrefixState{
+		{Prefix: "conf/", Revision: 1, Items: []store.Item{{Key: "conf/main", Revision: 1}}}, list,
+	}, "source")
+	for round := range int64(rounds) {
+		var wg sync.WaitGroup
+		for i := range sources {
+			// Entries are removed in even rounds and written in odd ones.
+			revision := 2 + round*sources + int64(i)
+			e := store.Event{Item: entry(i, revision), Deleted: round%2 == 0}
+			wg.Go(func() {
+				sc.merge([]link.PrefixState{
+					{Prefix: "up/", Revision: revision, Delta: true, Events: []store.Event{e}},
+				}, "source")
+			})
+		}
+		wg.Wait()
+		var got []*topo.Upstream
+		h.tickets.withScheduler(func(_ time.Time, k *sched.Scheduler) { got = k.Engines() })
+		if want := sc.Upstreams(""); len(got) != len(want) {
+			t.Fatalf("round %d: the scheduler has %d engines, the copy %d", round, len(got), len(want))
+		}
+	}
+}
