Do not pass on a rejection that the upstream does not state

Cause: only Not-Executed and 421 state that an upstream did not run a call. An answer with one of these statuses and without Not-Executed counted as executed, so no other upstream was tried, but its status was passed on as it was, on plain routes and on those of engines; so was the stored 503 of a call that may be repeated.

Change: relayResponse, which all responses of upstreams but events pass through, replaces these statuses by 502, which promises nothing, and logs the status of the upstream. Calls that may be repeated try another upstream first, as after an error.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -319,7 +319,8 @@
 		c.fail(res.Status, reasonUpstreamErr)
 		return completed
 	}
-	if res.Status >= http.StatusInternalServerError && c.route.Retryable() && c.attempts < c.route.MaxAttempts {
+	failed := res.Status >= http.StatusInternalServerError || saysNotExecuted(res.Status)
+	if failed && c.route.Retryable() && c.attempts < c.route.MaxAttempts {
 		c.fallback, c.fallbackBody = res, body
 		c.s.Stats.CountRetry("upstream_error")
 		return tryNext
@@ -333,6 +334,16 @@
 	return res.Header.Get(c.s.Headers.NotExecuted) != "" || res.Status == http.StatusMisdirectedRequest
 }
 
+// saysNotExecuted reports whether a status tells callers that the call was not executed and never will be.
+func saysNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // handleFailure handles an attempt without a valid response: the upstream may have executed the request.
 func (c *call) handleFailure() attemptResult {
 	c.mayHaveExecuted = true
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -299,8 +299,15 @@
 	c.logEnd(status, reason)
 }
 
-// relayResponse sends an upstream's complete response to the caller.
+// relayResponse sends an upstream's complete response to the caller. The upstream may have executed the call, so a status
+// that says otherwise to the caller is replaced.
 func (c *call) relayResponse(status int, header http.Header, body []byte) {
+	if saysNotExecuted(status) {
+		c.s.Log.Warn().Str("call", c.id).Strs("upstreams", c.tried).Int("upstream_status", status).
+			Msg("upstream does not state whether it has executed the call")
+		c.fail(http.StatusBadGateway, reasonUnclear)
+		return
+	}
 	copyHeader(c.w.Header(), header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -33,6 +33,7 @@
 	reasonCallerLeft      = "caller_left"
 	reasonStreamTruncated = "stream_cut"
 	reasonUpstreamErr     = "upstream_error"
+	reasonUnclear         = "outcome_not_stated"
 )
 
 type (
