Count a request as sent once a part of it was written

Cause: a write to an idle connection that fails with EPIPE counted as not sent. That is certain only if no byte was written. If the upstream closes its side of the connection and resets it while the host writes a request that does not fit into the buffers of the kernel, the write ends with EPIPE after a part of the request.

Change: a request counts as not sent only if the write has written nothing.

Not shown to be what the operators saw: it needs a head larger than the kernel's buffers.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -102,8 +102,8 @@
 	body := r.Body
 	header := encodeHeader(r)
 	if len(body) <= bufferSize {
-		_, err = c.Write(append(header, body...))
-		if err != nil && c.reused && errors.Is(err, syscall.EPIPE) {
+		n, err := c.Write(append(header, body...))
+		if n == 0 && c.reused && errors.Is(err, syscall.EPIPE) {
 			stop()
 			c.abort()
 			return nil, errors.Wrap(ErrNotSent, "idle connection was closed")
