Bound the bytes that a host holds of requests and responses

Each response of a plain service was held up to 16 MiB, twice that while it grew, with no bound over all calls; an event without end up to 1 MiB for each stream; a report of an engine up to 8 MiB, and the error of an order quoted all of it in a log line. A few calls a second were enough for the process to pass its memory, and all other calls on the machine ended with it.

Cause: every bound was one of a single response. Nothing bounded their sum, and the runtime knew no memory limit.

Change: budgets in bytes from the memory in the settings: 10% for requests of callers, 15% for responses of upstreams, 5% for reports of engines. Of a response at most 1 MiB is held, and only as long as its budget has room; the rest is passed on while it is read, to the same bound of 16 MiB as before, and the caller's connection is reset if it breaks off. Calls that are served by passing on need no room, so sound calls are served while others use up the budget, and streams have 16 kB each outside of it. A request for which there is no room is rejected at once with Retry-After. Calls to the store take no part in the budgets. A caller has 20 s to read a response that is held for it. The collector runs more often from 70% of the memory on.

A long response that breaks off now resets the caller's connection instead of 502; neither says whether the call was executed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -151,9 +151,9 @@
 
 func join(parts ...string) string { return strings.Join(parts, "") }
 
-func newServer(t *testing.T, cfg *topo.Config, plain []*upstream, engines []*upstream, retries int) (
-	*httptest.Server, *fakeTickets,
-) {
+func newServer(
+	t *testing.T, cfg *topo.Config, plain []*upstream, engines []*upstream, retries int, options ...func(*entry.Server),
+) (*httptest.Server, *fakeTickets) {
 	t.Helper()
 	list := make([]*topo.Upstream, 0, len(plain))
 	for i, u := range plain {
@@ -173,6 +173,9 @@
 		RetryBudget: &budget{left: retries}, Stats: &stats.Set{}, Log: zerolog.Nop(),
 		Stopping: func() (bool, bool) { return false, false },
 	}
+	for _, set := range options {
+		set(s)
+	}
 	srv := httptest.NewServer(s)
 	t.Cleanup(srv.Close)
 	return srv, tk
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -19,6 +19,8 @@
 const (
 	// streamBufferSize is the maximum size of one read from an upstream's stream, in bytes.
 	streamBufferSize = 8 << 10
+	// smallEventBytes is the size of an event that is held even if the memory for responses is used up.
+	smallEventBytes = 2 * streamBufferSize
 	// maxEventBytes is the size limit of one event of a stream.
 	maxEventBytes = 1 << 20
 )
@@ -108,7 +110,7 @@
 		}
 		return c.relayStream(res, g)
 	}
-	body, err := res.ReadAll(MaxResponseBytes)
+	body, complete, err := c.holdBody(res)
 	if err != nil {
 		c.logBroken(g.Engine, err)
 		return c.handleFailure(), c.failureOutcome(sched.Broken)
@@ -122,7 +124,7 @@
 	case res.Status >= http.StatusInternalServerError:
 		outcome = sched.Failed
 	}
-	return c.handleResponse(res, body), outcome
+	return c.handleResponse(res, body, complete), outcome
 }
 
 // isEventStream reports whether the body of a response is a stream of events.
@@ -144,18 +146,21 @@
 // timeouts.
 func (c *call) relayStream(res *h1.Response, g sched.Grant) (attemptResult, sched.Outcome) {
 	c.mayHaveExecuted = true
-	var partial []byte
+	partial := make([]byte, 0, smallEventBytes)
+	defer func() { c.response.Give(int64(cap(partial) - smallEventBytes)) }()
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := res.Read(buf)
-		partial = append(partial, buf[:n]...)
+		fits := false
+		partial, fits = c.response.Append(partial, buf[:n])
 		if end := endOfLastEvent(partial); end > 0 {
 			c.sendEvents(res, g, partial[:end])
 			partial = append(partial[:0], partial[end:]...)
 		}
-		if len(partial) > maxEventBytes {
+		if len(partial) > maxEventBytes || !fits {
 			c.s.Stats.CountEvent("event_too_long")
-			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).Msg("event of the stream is too long")
+			c.s.Log.Warn().Str("call", c.id).Str("upstream", g.Engine).Bool("memory_used_up", !fits).
+				Msg("event of the stream is too long")
 			res.Close()
 			return c.handleTruncated()
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -282,17 +282,18 @@
 	}
 	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
 	stated := c.s.applyNotice(sent, u.Instance(), res)
-	body, err := res.ReadAll(MaxResponseBytes)
+	body, complete, err := c.holdBody(res)
 	if err != nil {
 		return c.handleBroken(u, sent, err)
 	}
+	result := c.handleResponse(res, body, complete)
 	// An upstream that asks for a pause gets no calls meanwhile, and has not failed.
-	failed := res.Status >= http.StatusInternalServerError && stated.Hold == 0
+	failed := res.Status >= http.StatusInternalServerError && stated.Hold == 0 || c.truncated
 	c.s.Balancer.Done(time.Now(), u.ID, failed)
-	if c.s.Quarantine != nil && res.Status < http.StatusInternalServerError && !c.notExecuted(res) {
+	if c.s.Quarantine != nil && res.Status < http.StatusInternalServerError && !c.notExecuted(res) && !c.truncated {
 		c.s.Quarantine.Served(&c.spec)
 	}
-	return c.handleResponse(res, body)
+	return result
 }
 
 // handleBroken handles an attempt at a plain upstream whose connection broke, unless the call has ended.
@@ -306,9 +307,10 @@
 	return c.handleFailure()
 }
 
-// handleResponse relays a complete response, or returns tryNext if the upstream did not execute the request or failed
-// in a way that allows a retry.
-func (c *call) handleResponse(res *h1.Response, body []byte) attemptResult {
+// handleResponse relays a response whose body, or the start of it, has been read. It returns tryNext if the upstream did
+// not execute the request or failed in a way that allows a retry.
+func (c *call) handleResponse(res *h1.Response, body []byte, complete bool) attemptResult {
+	defer res.Close()
 	if c.notExecuted(res) {
 		c.s.Stats.CountRetry("not_run")
 		return tryNext
@@ -321,11 +323,17 @@
 	}
 	failed := res.Status >= http.StatusInternalServerError || saysNotExecuted(res.Status)
 	if failed && c.route.Retryable() && c.attempts < c.route.MaxAttempts {
-		c.fallback, c.fallbackBody = res, body
+		if complete {
+			c.fallback, c.fallbackBody = res, body
+		}
 		c.s.Stats.CountRetry("upstream_error")
 		return tryNext
 	}
-	c.relayResponse(res.Status, res.Header, body)
+	if complete || saysNotExecuted(res.Status) {
+		c.relayResponse(res.Status, res.Header, body)
+		return completed
+	}
+	c.passOn(res, body)
 	return completed
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
@@ -39,8 +40,10 @@
 	Quarantine  Quarantine // nil if there is none
 	Balancer    *Balancer
 	RetryBudget RetryBudget
-	Stats       *stats.Set
-	Log         zerolog.Logger
+	// RequestMemory and ResponseMemory bound what is held of all requests and of all responses; nil does not.
+	RequestMemory, ResponseMemory *mem.Budget
+	Stats                         *stats.Set
+	Log                           zerolog.Logger
 	// Stopping reports whether responses close their connections, and whether new calls are rejected.
 	Stopping func() (closing, rejecting bool)
 
@@ -85,6 +88,8 @@
 	service          string
 	spec             topo.CallSpec
 	body             []byte
+	request          mem.Share // what is held of the request
+	response         mem.Share // what is held of responses
 	header           http.Header
 	start            time.Time
 	deadline         time.Time
@@ -104,6 +109,7 @@
 	maxGap           time.Duration // longest gap between events
 	maxGapAt         time.Duration // start of that gap, since the start of the call
 	aborted          bool          // the caller's connection is to be reset
+	truncated        bool          // a response broke off while it was passed on
 }
 
 // ServeHTTP serves one call; it panics with http.ErrAbortHandler to reset the connection of a truncated response.
@@ -111,6 +117,9 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{s: s, w: w, r: r, start: time.Now(), id: r.Header.Get(s.Headers.ID)}
+	c.request.Budget, c.response.Budget = s.RequestMemory, s.ResponseMemory
+	defer c.request.Release()
+	defer c.response.Release()
 	closing, rejecting := s.Stopping()
 	if closing {
 		w.Header().Set("Connection", "close")
@@ -193,9 +202,12 @@
 }
 
 func (c *call) readBody(limit int64) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.request.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, mem.ErrNoMemory):
+		c.reject(reasonMemory, defaultRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, reasonTooLarge)
 		return false
@@ -308,6 +320,7 @@
 		c.fail(http.StatusBadGateway, reasonUnclear)
 		return
 	}
+	defer c.limitWrites()()
 	copyHeader(c.w.Header(), header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -12,6 +12,11 @@
 const (
 	// MaxResponseBytes is the size limit of a response that is not a stream.
 	MaxResponseBytes = 16 << 20
+	// maxHeldBytes is how much of a response is held until it is complete, so that another attempt can still be made. A
+	// longer response is passed on while it is read.
+	maxHeldBytes = 1 << 20
+	// writeTimeout is how long the caller may take to read a response that is not a stream.
+	writeTimeout = 20 * time.Second
 	// minAttemptTime is the minimum time to the deadline for another attempt; with less it cannot succeed.
 	minAttemptTime = 10 * time.Millisecond
 	// defaultRetryAfter is the Retry-After of a rejection without a better estimate.
@@ -34,6 +39,8 @@
 	reasonStreamTruncated = "stream_cut"
 	reasonUpstreamErr     = "upstream_error"
 	reasonUnclear         = "outcome_not_stated"
+	reasonMemory          = "memory_used_up"
+	reasonTruncated       = "response_cut"
 )
 
 type (
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/mem"
 )
 
 // Response is an upstream's response; its body must be read to the end or closed.
 type Response struct {
 	Status int
 	Header http.Header
+	Length int64 // of the body in bytes as the head states it, or -1
 
 	body        io.ReadCloser
 	pool        *Pool
@@ -39,9 +42,12 @@
 }
 
 // ReadAll reads the whole body. It returns an error and closes the response if the body has more than limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(b)) > limit {
+func (r *Response) ReadAll(limit int64) ([]byte, error) { return r.ReadShare(new(mem.Share), limit) }
+
+// ReadShare is ReadAll for a body that is part of a share of memory, which may have no room for it.
+func (r *Response) ReadShare(share *mem.Share, limit int64) ([]byte, error) {
+	b, err := share.ReadAll(r, limit)
+	if errors.Is(err, mem.ErrTooLong) {
 		err = errors.Wrapf(ErrBodyTooLong, "more than %d bytes", limit)
 	}
 	if err != nil {
@@ -106,7 +112,7 @@
 	c.maxIdle = parseKeepAlive(res.Header.Get("Keep-Alive"))
 	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
 	return &Response{
-		Status: res.StatusCode, Header: res.Header, body: res.Body, keepAlive: !res.Close && !unframed,
+		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body, keepAlive: !res.Close && !unframed,
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -145,6 +145,7 @@
 		},
 		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
+	h.limitMemory()
 }
 
 func (h *Host) start(ctx context.Context, failed chan<- error) {
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -31,6 +31,7 @@
 		HandoverDelay time.Duration // minimum time between orders of two different leaders
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
 		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
+		Memory        int64         // memory that the process may use, in bytes; 0 if it is unknown
 	}
 
 	// Platform gives access to the platform and decodes its data; all fields are set before use.
--- /dev/null
+++ b/internal/mem/budget.go
@@ -0,0 +1,112 @@
+package mem
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// minBuffer is the size of the first buffer of ReadAll, in bytes.
+const minBuffer = 512
+
+var (
+	// ErrTooLong means that there are more bytes than the reader allows.
+	ErrTooLong = errors.New("too long to be held")
+	// ErrNoMemory means that the budget has no room.
+	ErrNoMemory = errors.New("memory for requests and responses is used up")
+)
+
+type (
+	// Budget is the number of bytes that a host may hold; Limit is set before use. A nil Budget has no limit.
+	Budget struct {
+		Limit int64
+
+		used atomic.Int64
+	}
+
+	// Share is what one call holds of a Budget; its zero value has no limit. It is not safe for concurrent use.
+	Share struct {
+		Budget *Budget
+
+		held int64
+	}
+)
+
+// Used returns the number of bytes that are held.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Take adds bytes to the share, and reports whether the budget has room for them; if not, it adds none.
+func (s *Share) Take(n int64) bool {
+	if s.Budget == nil {
+		return true
+	}
+	for {
+		used := s.Budget.used.Load()
+		if used+n > s.Budget.Limit {
+			return false
+		}
+		if s.Budget.used.CompareAndSwap(used, used+n) {
+			s.held += n
+			return true
+		}
+	}
+}
+
+// Give returns bytes of the share to the budget.
+func (s *Share) Give(n int64) {
+	if s.Budget == nil {
+		return
+	}
+	s.held -= n
+	s.Budget.used.Add(-n)
+}
+
+// Release returns the whole share to the budget.
+func (s *Share) Release() { s.Give(s.held) }
+
+// Append appends to a buffer and adds what its capacity grows by to the share. It returns false, and the buffer as it was,
+// if the budget has no room for a larger one.
+func (s *Share) Append(buf, b []byte) ([]byte, bool) {
+	if need := len(buf) + len(b); need > cap(buf) {
+		grown := max(2*cap(buf), need)
+		if !s.Take(int64(grown - cap(buf))) {
+			return buf, false
+		}
+		next := make([]byte, len(buf), grown)
+		copy(next, buf)
+		buf = next
+	}
+	return append(buf, b...), true
+}
+
+// ReadAll reads until io.EOF and adds the buffer to the share before it grows. With an error it returns what it has
+// read: ErrTooLong if there are more than limit bytes, ErrNoMemory if the budget has no room, or the error of r.
+func (s *Share) ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	var buf []byte
+	for {
+		if len(buf) == cap(buf) {
+			grown := min(max(2*int64(cap(buf)), minBuffer), limit+1)
+			if int64(len(buf)) > limit {
+				return buf, ErrTooLong
+			}
+			if !s.Take(grown) {
+				return buf, ErrNoMemory
+			}
+			next := make([]byte, len(buf), grown)
+			copy(next, buf)
+			s.Give(int64(cap(buf)))
+			buf = next
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case int64(len(buf)) > limit:
+			return buf, ErrTooLong
+		case errors.Is(err, io.EOF):
+			return buf, nil
+		case err != nil:
+			return buf, err
+		}
+	}
+}
