--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -21,8 +21,8 @@
 	maxRanked         = 6
 	unrankedSpread    = 10 * time.Millisecond
 	maxUnrankedSpread = 2 * time.Second
-	// maxRejections is the number of consecutive campaigns that the store rejects after which this host lists the leader
-	// key and the leader record. The first ones are expected: another host was faster, and the change is on its way.
+	// maxRejections is the number of consecutive rejected campaigns after which this host lists the leader key and the
+	// leader record. The first ones are expected: another host was faster, and the change is on its way.
 	maxRejections = 4
 )
 
@@ -108,7 +108,8 @@
 	leads := e.fence != 0
 	e.mu.Unlock()
 	if !leads {
-		e.Log.Warn().Int64("token", fencingToken(as)).Msg("leadership ended before the response to the campaign arrived")
+		e.Log.Warn().Int64("token", fencingToken(as)).
+			Msg("leadership ended before the response to the campaign arrived")
 		return 0
 	}
 	e.Log.Info().Int64("token", fencingToken(as)).Str("last", last).Msg("became leader")
--- a/internal/elect/copy.go
+++ b/internal/elect/copy.go
@@ -41,8 +41,8 @@
 	e.notify(changed)
 }
 
-// Apply applies changes of keys with Prefix in an era of the store. Hosts get changes from several sources, of which one
-// may have been suspended, so an event may be older than what this host knows; such events are dropped.
+// Apply applies changes of keys with Prefix in an era of the store. Hosts get changes from several sources, of which
+// one may have been suspended, so an event may be older than what this host knows; such events are dropped.
 func (e *Elector) Apply(era int64, events []store.Event) {
 	changed := false
 	e.mu.Lock()
@@ -92,8 +92,8 @@
 	return true
 }
 
-// learnList is learn for a list, which is applied again if it is as old as what is known: a response to a write does not
-// state the revision of each key. The caller holds e.mu.
+// learnList is learn for a list, which is applied again if it is as old as what is known: a response to a write does
+// not state the revision of each key. The caller holds e.mu.
 func (e *Elector) learnList(key string, as store.Version) bool {
 	return e.learn(key, as) || as == e.known[key]
 }
@@ -106,8 +106,8 @@
 	}
 }
 
-// isCurrent reports whether the leader key has this value, which differs from leadership to leadership. The caller holds
-// e.mu.
+// isCurrent reports whether the leader key has this value, which differs from leadership to leadership. The caller
+// holds e.mu.
 func (e *Elector) isCurrent(value []byte) bool {
 	return e.current != nil && bytes.Equal(value, e.current.Value)
 }
--- a/internal/entry/long.go
+++ b/internal/entry/long.go
@@ -29,14 +29,15 @@
 	return body, true, nil
 }
 
-// passOn sends a response to the caller while it is read, after the start that has been read already. If it breaks off or
-// is longer than MaxResponseBytes, the caller's connection is reset, so that it does not look complete.
+// passOn sends a response to the caller while it is read, after the start that has been read already. If it breaks
+// off or is longer than MaxResponseBytes, the caller's connection is reset, so that it does not look complete.
 func (c *call) passOn(res *h1.Response, start []byte) {
 	if res.Length > MaxResponseBytes {
 		c.fail(http.StatusBadGateway, reasonUpstreamFailed)
 		return
 	}
-	defer c.limitWrites()()
+	endLimit := c.limitWrites()
+	defer endLimit()
 	copyHeader(c.w.Header(), res.Header)
 	if res.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(res.Length, 10))
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -307,8 +307,8 @@
 	return c.handleFailure()
 }
 
-// handleResponse relays a response whose body, or the start of it, has been read. It returns tryNext if the upstream did
-// not execute the request or failed in a way that allows a retry.
+// handleResponse relays a response whose body, or the start of it, has been read. It returns tryNext if the upstream
+// did not execute the request or failed in a way that allows a retry.
 func (c *call) handleResponse(res *h1.Response, body []byte, complete bool) attemptResult {
 	defer res.Close()
 	if c.notExecuted(res) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -311,8 +311,8 @@
 	c.logEnd(status, reason)
 }
 
-// relayResponse sends an upstream's complete response to the caller. The upstream may have executed the call, so a status
-// that says otherwise to the caller is replaced.
+// relayResponse sends an upstream's complete response to the caller. The upstream may have executed the call, so a
+// status that says otherwise to the caller is replaced.
 func (c *call) relayResponse(status int, header http.Header, body []byte) {
 	if saysNotExecuted(status) {
 		c.s.Log.Warn().Str("call", c.id).Strs("upstreams", c.tried).Int("upstream_status", status).
@@ -320,7 +320,8 @@
 		c.fail(http.StatusBadGateway, reasonUnclear)
 		return
 	}
-	defer c.limitWrites()()
+	endLimit := c.limitWrites()
+	defer endLimit()
 	copyHeader(c.w.Header(), header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -112,7 +112,8 @@
 	c.maxIdle = parseKeepAlive(res.Header.Get("Keep-Alive"))
 	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
 	return &Response{
-		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body, keepAlive: !res.Close && !unframed,
+		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
+		keepAlive: !res.Close && !unframed,
 	}
 }
 
--- a/internal/host/memory.go
+++ b/internal/host/memory.go
@@ -39,7 +39,8 @@
 	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
 		debug.SetMemoryLimit(int64(runtimeShare * memory))
 	}
-	requests, responses := &mem.Budget{Limit: int64(requestShare * memory)}, &mem.Budget{Limit: int64(responseShare * memory)}
+	requests := &mem.Budget{Limit: int64(requestShare * memory)}
+	responses := &mem.Budget{Limit: int64(responseShare * memory)}
 	h.entry.RequestMemory, h.entry.ResponseMemory = requests, responses
 	h.Stats.SetGaugeFunc("held_request_bytes", requests.Used)
 	h.Stats.SetGaugeFunc("held_response_bytes", responses.Used)
--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -65,8 +65,8 @@
 // Release returns the whole share to the budget.
 func (s *Share) Release() { s.Give(s.held) }
 
-// Append appends to a buffer and adds what its capacity grows by to the share. It returns false, and the buffer as it was,
-// if the budget has no room for a larger one.
+// Append appends to a buffer and adds what its capacity grows by to the share. It returns false, and the buffer as it
+// was, if the budget has no room for a larger one.
 func (s *Share) Append(buf, b []byte) ([]byte, bool) {
 	if need := len(buf) + len(b); need > cap(buf) {
 		grown := max(2*cap(buf), need)
