Count a call as ended at its upstream before the caller reads the response

Found on reading the change of the memory budgets again: a complete response was sent to the caller before the balancer learned of its end, so a caller that reads slowly made its upstream look busy. Complete responses are recorded first again, as before that change; those that are passed on, after they were read. Events of up to 16 kB take memory only as they arrive, as before too.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -146,13 +147,18 @@
 // timeouts.
 func (c *call) relayStream(res *h1.Response, g sched.Grant) (attemptResult, sched.Outcome) {
 	c.mayHaveExecuted = true
-	partial := make([]byte, 0, smallEventBytes)
-	defer func() { c.response.Give(int64(cap(partial) - smallEventBytes)) }()
+	var partial []byte
+	long := mem.Share{Budget: c.s.ResponseMemory}
+	defer long.Release()
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := res.Read(buf)
-		fits := false
-		partial, fits = c.response.Append(partial, buf[:n])
+		fits := true
+		if len(partial)+n <= smallEventBytes {
+			partial = append(partial, buf[:n]...)
+		} else {
+			partial, fits = long.Append(partial, buf[:n])
+		}
 		if end := endOfLastEvent(partial); end > 0 {
 			c.sendEvents(res, g, partial[:end])
 			partial = append(partial[:0], partial[end:]...)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -286,14 +286,23 @@
 	if err != nil {
 		return c.handleBroken(u, sent, err)
 	}
-	result := c.handleResponse(res, body, complete)
+	if complete {
+		c.recordOutcome(u, res, stated)
+		return c.handleResponse(res, body, true)
+	}
+	result := c.handleResponse(res, body, false)
+	c.recordOutcome(u, res, stated)
+	return result
+}
+
+// recordOutcome records how the upstream has served the call.
+func (c *call) recordOutcome(u *topo.Upstream, res *h1.Response, stated topo.Notice) {
 	// An upstream that asks for a pause gets no calls meanwhile, and has not failed.
 	failed := res.Status >= http.StatusInternalServerError && stated.Hold == 0 || c.truncated
 	c.s.Balancer.Done(time.Now(), u.ID, failed)
 	if c.s.Quarantine != nil && res.Status < http.StatusInternalServerError && !c.notExecuted(res) && !c.truncated {
 		c.s.Quarantine.Served(&c.spec)
 	}
-	return result
 }
 
 // handleBroken handles an attempt at a plain upstream whose connection broke, unless the call has ended.
