Bound the bytes that figreel serve holds of requests and responses

The same fault as in figreel host, on the related path: a service that answers a non-idempotent call with bytes without end was held up to 8 MiB for each call, and requests of callers up to 4 MiB, for up to limits.max_calls calls, without a bound over all.

Change: the budgets of internal/mem from the new setting limits.memory_mb (1024): 10% for requests, which are rejected with not_run and Retry-After beyond it, and 15% for responses that are stored before they are sent, which end with outcome_unknown. Other responses are streamed and need none. The shares stand in internal/mem now, for both programs.

--- a/internal/apigw/call.go
+++ b/internal/apigw/call.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/pkg/answer"
 	"github.com/figreel/figreel/pkg/envdoc"
 )
@@ -48,6 +48,7 @@
 	caller envdoc.Caller
 	start  time.Time
 	body   []byte
+	memory mem.Share // of the body
 	// recordChecked means that errors may report not_run although the request has an idempotency key, because either
 	// no record applies to the request, or Server.Idempotency reads the record and sets the outcome.
 	recordChecked bool
@@ -59,6 +60,8 @@
 func (s *Server) wrap(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &call{w: w, r: r, id: requestID(r), start: time.Now()}
+		c.memory.Budget = s.RequestMemory
+		defer c.memory.Release()
 		c.log = s.Log.With().Str("request_id", c.id).Logger()
 		w.Header().Set(headerRequestID, c.id)
 		n := s.inFlight.Add(1)
@@ -161,12 +164,18 @@
 func (s *Server) readBody(c *call) error {
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	b, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.MaxBodyBytes))
+	b, err := c.memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.MaxBodyBytes), s.MaxBodyBytes)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		c.body = b
 		return nil
 	}
+	if errors.Is(err, mem.ErrNoMemory) {
+		return &answer.Error{
+			Status: http.StatusServiceUnavailable, Code: "memory_used_up", Outcome: answer.NotRun,
+			Message: "this host has no memory left for the request", RetryAfter: time.Second,
+		}
+	}
 	// The read deadline stays set, because net/http reads the rest of the body before it sends the error response and a
 	// slow sender must not delay that.
 	var large *http.MaxBytesError
--- a/internal/apigw/idempotent.go
+++ b/internal/apigw/idempotent.go
@@ -1,7 +1,6 @@
 package apigw
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/idem"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/pkg/answer"
 )
 
@@ -17,7 +17,8 @@
 type responseBuffer struct {
 	header http.Header
 	status int
-	body   bytes.Buffer
+	body   []byte
+	memory mem.Share
 }
 
 // forwardOnce forwards a non-idempotent request. With an idempotency key it is executed at most once. Without a key
@@ -25,11 +26,14 @@
 // disconnects.
 func (s *Server) forwardOnce(c *call, req ServiceRequest, key string) error {
 	forward := func(ctx context.Context) (*idem.Response, error) {
-		w := &responseBuffer{header: make(http.Header), status: http.StatusOK}
+		w := &responseBuffer{
+			header: make(http.Header), status: http.StatusOK, memory: mem.Share{Budget: s.ResponseMemory},
+		}
+		defer w.memory.Release()
 		if err := s.Forwarder.Forward(ctx, w, req); err != nil {
 			return nil, err
 		}
-		return &idem.Response{Status: w.status, ContentType: w.header.Get("Content-Type"), Body: w.body.Bytes()}, nil
+		return &idem.Response{Status: w.status, ContentType: w.header.Get("Content-Type"), Body: w.body}, nil
 	}
 	if key == "" {
 		resp, err := forward(context.WithoutCancel(c.r.Context()))
@@ -60,16 +64,23 @@
 // WriteHeader stores the status.
 func (w *responseBuffer) WriteHeader(status int) { w.status = status }
 
-// Write buffers a part of the body. It returns an error if the body becomes larger than maxBufferedBytes, because a
-// truncated response must not be stored as a complete one.
+// Write buffers a part of the body. It returns an error if the body becomes larger than maxBufferedBytes or the memory
+// is used up, because a truncated response must not be stored as a complete one.
 func (w *responseBuffer) Write(b []byte) (int, error) {
-	if w.body.Len()+len(b) > maxBufferedBytes {
+	if len(w.body)+len(b) > maxBufferedBytes {
 		return 0, errors.WithStack(&answer.Error{
 			Status: http.StatusBadGateway, Code: "answer_too_large", Outcome: answer.Unknown,
 			Message: "the response to a non-idempotent request is too large",
 		})
 	}
-	return w.body.Write(b)
+	var fits bool
+	if w.body, fits = w.memory.Append(w.body, b); !fits {
+		return 0, errors.WithStack(&answer.Error{
+			Status: http.StatusBadGateway, Code: "memory_used_up", Outcome: answer.Unknown,
+			Message: "this host has no memory left for the response",
+		})
+	}
+	return len(b), nil
 }
 
 // Truncated returns the error for a response that the upstream truncated. Package proxy calls it instead of closing
--- a/internal/apigw/server.go
+++ b/internal/apigw/server.go
@@ -10,6 +10,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/figreel/figreel/internal/idem"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/relay"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/trace"
@@ -78,6 +79,9 @@
 		HostName     string
 		MaxBodyBytes int64
 		MaxInFlight  int64
+		// RequestMemory and ResponseMemory bound what is held of all requests, and of all responses that are stored
+		// before they are sent; nil does not.
+		RequestMemory, ResponseMemory *mem.Budget
 		// Trace records each finished generation without its text, in the order in which they finish; nil turns it off.
 		Trace *trace.Writer
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,8 @@
 	Limits struct {
 		MaxBodyBytes int64 `yaml:"max_body_bytes" default:"4194304"`
 		MaxCalls     int   `yaml:"max_calls" default:"2000"`
+		// MemoryMB is the memory that the process may use, of which requests and responses take a share.
+		MemoryMB int64 `yaml:"memory_mb" default:"1024"`
 		// KVWritesPerS limits this host's writes for calls: its share of the key-value service's write budget.
 		KVWritesPerS int `yaml:"kv_writes_per_s" default:"20"`
 	}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -59,6 +59,7 @@
 	c.CheckURL("platform.weights_url", cfg.Platform.WeightsURL)
 	c.CheckURL("platform.hosts_url", cfg.Platform.HostsURL)
 	c.CheckMin("limits.max_body_bytes", cfg.Limits.MaxBodyBytes, 1)
+	c.CheckMin("limits.memory_mb", cfg.Limits.MemoryMB, 1)
 	c.CheckMin("limits.max_calls", int64(cfg.Limits.MaxCalls), 1)
 	c.CheckMin("limits.kv_writes_per_s", int64(cfg.Limits.KVWritesPerS), 1)
 	c.CheckMin("stop_timeout_s", int64(cfg.StopTimeoutS), 0)
--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -7,8 +7,17 @@
 	"github.com/pkg/errors"
 )
 
-// minBuffer is the size of the first buffer of ReadAll, in bytes.
-const minBuffer = 512
+const (
+	// RequestShare, ResponseShare and ReportShare are the shares of the memory of a process that may hold requests of
+	// callers, responses of upstreams, and responses of engines to orders and requests for reports. What the collector
+	// has not freed yet comes on top of them.
+	RequestShare  = 0.1
+	ResponseShare = 0.15
+	ReportShare   = 0.05
+
+	// minBuffer is the size of the first buffer of ReadAll, in bytes.
+	minBuffer = 512
+)
 
 var (
 	// ErrTooLong means that there are more bytes than the reader allows.
@@ -33,6 +42,11 @@
 	}
 )
 
+// NewBudget returns a budget of a share of the memory, which is in bytes.
+func NewBudget(memory int64, share float64) *Budget {
+	return &Budget{Limit: int64(share * float64(memory))}
+}
+
 // Used returns the number of bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
--- a/internal/serve/build.go
+++ b/internal/serve/build.go
@@ -17,6 +17,7 @@
 	"github.com/figreel/figreel/internal/engine"
 	"github.com/figreel/figreel/internal/idem"
 	"github.com/figreel/figreel/internal/kvapi"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/member"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/plain"
@@ -150,6 +151,8 @@
 		Ready: h.ready, Stats: h.stats,
 		Log: h.Log, HostName: h.Config.Name,
 		MaxBodyBytes: h.Config.Limits.MaxBodyBytes, MaxInFlight: int64(h.Config.Limits.MaxCalls),
+		RequestMemory:  mem.NewBudget(h.Config.Limits.MemoryMB<<20, mem.RequestShare),
+		ResponseMemory: mem.NewBudget(h.Config.Limits.MemoryMB<<20, mem.ResponseShare),
 		Forwarder: &proxy.Proxy{
 			Client: &plain.Client{}, RetryBudget: retries, Stats: h.stats, FailureDomain: h.Config.FailureDomain,
 			IsLeaving: h.upstreamLeaving, Notices: &notice.Table{Changed: h.noticeChanged},
