--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// RequestShare, ResponseShare and ReportShare are the shares of the memory of a process that may hold requests of
-	// callers, responses of upstreams, and responses of engines to orders and requests for reports. What the collector
-	// has not freed yet comes on top of them.
-	RequestShare  = 0.1
+	// RequestShare is the share of the memory of a process that may hold requests of callers. What the collector has not
+	// freed yet comes on top of the shares.
+	RequestShare = 0.1
+	// ResponseShare is the share that may hold responses of upstreams.
 	ResponseShare = 0.15
-	ReportShare   = 0.05
+	// ReportShare is the share that may hold responses of engines to orders and requests for reports.
+	ReportShare = 0.05
 
 	// minBuffer is the size of the first buffer of ReadAll, in bytes.
 	minBuffer = 512
