--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// RequestShare is the share of the memory of a process that may hold requests of callers. What the collector has not
-	// freed yet comes on top of the shares.
+	// RequestShare is the share of the memory of a process that may hold requests of callers. What the collector has
+	// not freed yet comes on top of the shares.
 	RequestShare = 0.1
 	// ResponseShare is the share that may hold responses of upstreams.
 	ResponseShare = 0.15
