Log attempts that were not executed, and responses to other requests

The logs could not tell whether a call that was rejected and executed had been refused by its upstream, or had got a copy of an earlier answer: nothing showed which connection an attempt used and what that connection had carried before. Each attempt that an upstream states not to have executed now has a line with the host's end of the connection and the number of earlier requests on it; a response to another request that is skipped has a line and a counter. At most one line for each attempt and each skipped response.

--- a/cmd/figreel/host.go
+++ b/cmd/figreel/host.go
@@ -62,6 +62,10 @@
 	signal.Ignore(syscall.SIGPIPE)
 	pool := platform.NewPool()
 	pool.Dialed = func(string) { metrics.CountEvent("connections_opened") }
+	pool.Skipped = func(addr, id string, status int) {
+		metrics.CountEvent("responses_skipped")
+		log.Info().Str("addr", addr).Str("call", id).Int("status", status).Msg("response to another request skipped")
+	}
 	h := &host.Host{
 		Settings: settings, Platform: platform.New(settings, pool, metrics.CountKVCall), Pool: pool, Stats: metrics,
 		Log: log, Stop: stop, Reload: watchSettings(ctx, file, log),
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -321,6 +321,7 @@
 func (c *call) handleResponse(res *h1.Response, body []byte, complete bool) attemptResult {
 	defer res.Close()
 	if c.notExecuted(res) {
+		c.logNotExecuted(res)
 		c.s.Stats.CountRetry("not_run")
 		return tryNext
 	}
@@ -351,6 +352,12 @@
 	return res.Header.Get(c.s.Headers.NotExecuted) != "" || res.Status == http.StatusMisdirectedRequest
 }
 
+// logNotExecuted logs an attempt that the upstream did not execute, with the connection on which it said so.
+func (c *call) logNotExecuted(res *h1.Response) {
+	c.s.Log.Info().Str("call", c.id).Str("upstream", c.tried[len(c.tried)-1]).Int("status", res.Status).
+		Str("conn", res.LocalAddr).Int("earlier_requests", res.Earlier).Msg("attempt not executed")
+}
+
 // saysNotExecuted reports whether a status tells callers that the call was not executed and never will be.
 func saysNotExecuted(status int) bool {
 	switch status {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -60,6 +60,9 @@
 		IDHeader string
 		// Dialed is called before each attempt to open a new connection; nil does nothing.
 		Dialed func(addr string)
+		// Skipped is called for each response to another request that was read and skipped, with the address of the
+		// upstream and the ID and status of the response; nil does nothing.
+		Skipped func(addr, id string, status int)
 
 		mu   sync.Mutex
 		idle map[string][]*conn
@@ -86,6 +89,7 @@
 		limit     *limitedReader
 		idleSince time.Time
 		maxIdle   time.Duration
+		requests  int // carried so far
 		reused    bool
 	}
 )
@@ -97,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.requests++
 	stop := context.AfterFunc(ctx, func() { c.abort() })
 	written := make(chan error, 1)
 	body := r.Body
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -191,3 +192,24 @@
 		})
 	}
 }
+
+// Guards against logs that do not show which request a response belongs to and what its connection has carried before.
+func TestSkippedResponse(t *testing.T) {
+	addr, _ := serve(t, response("1", "r1"), response("9", "xx")+response("2", "r2"))
+	var skipped []string
+	p := &h1.Pool{IDHeader: "X-Id", Skipped: func(addr, id string, status int) {
+		skipped = append(skipped, addr+" "+id+" "+strconv.Itoa(status))
+	}}
+	for earlier, id := range []string{"1", "2"} {
+		res, err := p.Do(context.Background(), &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := res.ReadAll(100); err != nil || res.Earlier != earlier || res.LocalAddr == "" {
+			t.Errorf("request %s: %v, %d requests before on %q, want %d", id, err, res.Earlier, res.LocalAddr, earlier)
+		}
+	}
+	if want := addr + " 9 200"; len(skipped) != 1 || skipped[0] != want {
+		t.Errorf("skipped %q, want %q", skipped, want)
+	}
+}
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -17,6 +17,9 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body in bytes as the head states it, or -1
+	// LocalAddr is the host's end of the connection, and Earlier the number of requests that it has carried before.
+	LocalAddr string
+	Earlier   int
 
 	body        io.ReadCloser
 	pool        *Pool
@@ -97,6 +100,9 @@
 		if r.ID == "" || id == r.ID || id == "" && !c.reused {
 			return newResponse(c, res), nil
 		}
+		if p.Skipped != nil {
+			p.Skipped(c.addr, id, res.StatusCode)
+		}
 		if res.ContentLength < 0 || res.ContentLength > maxSkippedBytes {
 			return nil, errors.Errorf("response to another request has a body of %d bytes", res.ContentLength)
 		}
@@ -113,6 +119,7 @@
 	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
+		LocalAddr: c.LocalAddr().String(), Earlier: c.requests - 1,
 		keepAlive: !res.Close && !unframed,
 	}
 }
