Show that a copy of a refusal is taken for the answer to a further attempt

An upstream that has started anew under another id is listed twice with its address for a while. The attempt with the old id is refused with 421, 429 or 503, the next one with the new id goes out on the same connection, and a copy of the refusal is read as its answer: the caller is told that the call was not executed, while the upstream executes it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -26,6 +27,7 @@
 // upstream is a fake upstream that responds to each request with the next script. In a script, RESET resets the
 // connection, and HANG waits until the host closes it.
 type upstream struct {
+	id         string // of the engine in its grants; empty is e
 	addr       string
 	mu         sync.Mutex
 	received   []*http.Request
@@ -112,8 +114,9 @@
 	if f.granted >= len(f.engines) {
 		return sched.Decision{Kind: sched.Rejected, Call: req.Call, Reason: "none"}, nil
 	}
+	e := f.engines[f.granted]
 	f.granted++
-	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{Engine: "e", Addr: f.engines[f.granted-1].addr}}, nil
+	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{Engine: cmp.Or(e.id, "e"), Addr: e.addr}}, nil
 }
 
 func (f *fakeTickets) FirstEvent(sched.Grant, *topo.Load) {}
