Carry each request ID once on a connection

A call was rejected with 503 and executed, or executed twice, when an upstream sent a copy of its refusal late. The copy has the ID of the call, so on the connection on which the call is sent again it was read as the answer to the further attempt.

Cause: whether an attempt needs a new connection was decided by the upstream's id, and connections are kept by address. An upstream that has started anew under another id is listed twice with its address until its old entry expires. The decision now is the pool's: a connection remembers the IDs that it has carried, and a request goes out only on one that has not carried its ID; after 512 requests a connection is closed. So the rule holds for every caller of the pool, whatever an upstream is called, and Request.Fresh is gone. It costs no connection where another idle one is left.

TestConnectionCarriesIDOnce failed in 6 of 8 rows. TestResetWhileWriting sent two requests with one ID on a connection to have it reused; the second now has an ID of its own, its assertions are as before.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -272,15 +271,9 @@
 	}
 	return &h1.Request{
 		Addr: addr, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, ID: c.id,
-		Fresh: c.wasTried(id),
 	}
 }
 
-// wasTried reports whether an attempt before the current one was sent to the upstream.
-func (c *call) wasTried(id string) bool {
-	return len(c.tried) > 1 && slices.Contains(c.tried[:len(c.tried)-1], id)
-}
-
 // maxPriority is the least urgent priority that engines accept.
 const maxPriority = 9
 
--- a/internal/h1/partial_test.go
+++ b/internal/h1/partial_test.go
@@ -54,6 +54,7 @@
 		t.Fatal(err)
 	}
 	// Longer than what the kernel buffers of both sides hold.
+	r.ID = "b"
 	r.Header = http.Header{"Long": {strings.Repeat("x", 64<<20)}}
 	_, err = p.Do(ctx, r)
 	if n := <-got; n == 0 {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -6,11 +6,13 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -31,6 +33,8 @@
 	idleMargin = time.Second
 	// idlePerUpstream bounds the number of idle connections to one upstream.
 	idlePerUpstream = 16
+	// maxRequests is the number of requests with an ID after which a connection is closed, because it remembers their IDs.
+	maxRequests = 512
 	// bufferSize is the size of a connection's read buffer, in bytes. A request whose body is not larger is sent in one
 	// write.
 	bufferSize = 4096
@@ -76,10 +80,9 @@
 		Host   string
 		Header http.Header
 		Body   []byte
-		ID     string // expected in IDHeader of the response; empty accepts any response
-		// Fresh requests a new connection. A faulty upstream may send its response to an earlier request with the same
-		// ID once more on the connection of that request.
-		Fresh bool
+		// ID is expected in IDHeader of the response; empty accepts any response. A connection carries each ID once: a
+		// faulty upstream may send a response once more, and the copy must not answer a request that is sent again.
+		ID string
 	}
 
 	conn struct {
@@ -89,7 +92,8 @@
 		limit     *limitedReader
 		idleSince time.Time
 		maxIdle   time.Duration
-		requests  int // carried so far
+		requests  int      // carried so far
+		carried   []uint64 // hashes of their IDs
 		reused    bool
 	}
 )
@@ -101,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.requests++
+	c.addRequest(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.abort() })
 	written := make(chan error, 1)
 	body := r.Body
@@ -160,10 +164,10 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
-	for !r.Fresh {
-		c := p.pop(r.Addr)
+	for {
+		c := p.pop(r.Addr, r.ID)
 		if c == nil {
-			break
+			return p.dial(ctx, r.Addr)
 		}
 		if time.Since(c.idleSince) < c.maxIdle && c.isReusable() {
 			c.reused = true
@@ -171,23 +175,28 @@
 		}
 		c.abort()
 	}
-	return p.dial(ctx, r.Addr)
 }
 
-func (p *Pool) pop(addr string) *conn {
+// pop removes and returns the idle connection to the address that was used last and has not carried the ID, or nil.
+func (p *Pool) pop(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.hasCarried(id) {
+			continue
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
+	if len(c.carried) >= maxRequests {
+		_ = c.Close()
+		return
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	if p.idle == nil {
@@ -242,6 +251,19 @@
 	return set
 }
 
+// addRequest records that the connection carries a request.
+func (c *conn) addRequest(id string) {
+	c.requests++
+	if id != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(id))
+	}
+}
+
+// hasCarried reports whether the connection has carried a request with the ID.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
 // isReusable reports whether the connection is open and the peer has sent nothing since its last response.
 func (c *conn) isReusable() bool {
 	if c.br.Buffered() > 0 {
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -213,3 +215,83 @@
 		t.Errorf("skipped %q, want %q", skipped, want)
 	}
 }
+
+// Guards against a copy of a response that answers a request that is sent again: no connection carries an ID twice,
+// whatever it has carried in between, and for however long it is used.
+func TestConnectionCarriesIDOnce(t *testing.T) {
+	others := make([]string, 1000)
+	for i := range others {
+		others[i] = "o" + strconv.Itoa(i)
+	}
+	for _, tt := range []struct {
+		name string
+		ids  []string
+		want int // connections
+	}{
+		{"other IDs", []string{"a", "b", "c"}, 1},
+		{"without IDs", []string{"", "", ""}, 1},
+		{"again at once", []string{"a", "a"}, 2},
+		{"again later", []string{"a", "b", "c", "a"}, 2},
+		{"again three times", []string{"a", "a", "a"}, 3},
+		{"again, other IDs after it", []string{"a", "a", "b", "c"}, 2},
+		{"two IDs again", []string{"a", "b", "b", "a"}, 2},
+		{"again after many", slices.Concat([]string{"a"}, others, []string{"a"}), 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			scripts := make([]string, len(tt.ids))
+			for i, id := range tt.ids {
+				if scripts[i] = response(id, "ok"); id == "" {
+					scripts[i] = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"
+				}
+			}
+			addr, conns := serveAll(t, scripts)
+			p := &h1.Pool{IDHeader: "X-Id"}
+			for i, id := range tt.ids {
+				res, err := p.Do(context.Background(), &h1.Request{
+					Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: id,
+				})
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				if _, err := res.ReadAll(10); err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+			}
+			if n := int(conns.Load()); n != tt.want {
+				t.Errorf("%d connections, want %d", n, tt.want)
+			}
+		})
+	}
+}
+
+// serveAll starts a server that answers the requests on all its connections with the scripts in turn.
+func serveAll(t *testing.T, scripts []string) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = new(atomic.Int32)
+	var next atomic.Int32
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(nc, strings.ReplaceAll(scripts[next.Add(1)-1], "\n", "\r\n"))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
