Do not take a response to a call for that to an order or a report

Orders and reports have no ID and share kept connections with calls, and a request without an ID took any response: a late copy of the response to a call answered the next order. A refusal then counted as a rejected order that the engine had accepted, a success as no change. The count of accepted orders in each order kept that from overfilling an engine; the order was lost.

A response with an ID now answers no request without one.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -80,8 +80,9 @@
 		Host   string
 		Header http.Header
 		Body   []byte
-		// ID is expected in IDHeader of the response; empty accepts any response. A connection carries each ID once: a
-		// faulty upstream may send a response once more, and the copy must not answer a request that is sent again.
+		// ID is expected in IDHeader of the response; if it is empty, the response must have none. A connection carries
+		// each ID once: a faulty upstream may send a response once more, and the copy must not answer a request that is
+		// sent again.
 		ID string
 	}
 
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -295,3 +295,23 @@
 	}()
 	return l.Addr().String(), conns
 }
+
+// Guards against an order or a report that is answered by a late response to a call on the same connection.
+func TestRequestWithoutID(t *testing.T) {
+	addr, _ := serveAll(t, []string{response("1", "r1"), response("1", "r1") + "HTTP/1.1 202 OK\nContent-Length: 2\n\nok"})
+	p := &h1.Pool{IDHeader: "X-Id"}
+	for _, tt := range []struct {
+		id   string
+		want int
+	}{{"1", http.StatusOK}, {"", http.StatusAccepted}} {
+		res, err := p.Do(context.Background(), &h1.Request{
+			Addr: addr, Method: http.MethodPost, Target: "/", Host: "h", ID: tt.id,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := res.ReadAll(10); err != nil || res.Status != tt.want {
+			t.Errorf("request with ID %q: status %d, %v, want %d", tt.id, res.Status, err, tt.want)
+		}
+	}
+}
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		id := res.Header.Get(p.IDHeader)
-		if r.ID == "" || id == r.ID || id == "" && !c.reused {
+		if id == r.ID || id == "" && !c.reused {
 			return newResponse(c, res), nil
 		}
 		if p.Skipped != nil {
