Send each request of figreel serve on a connection of its own

What callers saw: the response to another caller's request, or the 429 or 503 of an earlier one, for a call that the service then executed. The same holds for calls to the key-value service: a claim counted as written although another host held it, so that a call that must run once could run on two hosts; a renewal counted as done although the lease was gone.

Cause: idempotent calls to services, and all calls to the key-value service, the service registry and the weight store, went out on kept connections. HTTP/1 has no request IDs. net/http drops a connection on which bytes arrive while it is idle, but a copy that arrives after the next request was sent is read as its response. On kept connections net/http also sends a request without a body again by itself when the connection breaks, although the first may have been executed.

Change: xhttp.Client keeps no connections, as the client of engines did already, so whatever arrives on a connection belongs to the only request that it carried. Do and DoNewConn are one, and plain.Call needs no NonIdempotent. A further byte of an upstream reaches a closed connection.

The tests that closed idle connections at their end no longer do; their checks are the same.

--- a/internal/emul/fault/injector_test.go
+++ b/internal/emul/fault/injector_test.go
@@ -40,14 +40,13 @@
 			s := new(svc.Service)
 			defer n.Serve("s:80", s)()
 			c := &xhttp.Client{Dial: n.Dial}
-			defer c.Close()
 			s.Fault.Set(tc.spec)
 			endFreeze := time.AfterFunc(hour, func() { s.Fault.Set(fault.Spec{}) })
 			defer endFreeze.Stop()
 			start := time.Now()
 			for i, want := range tc.ok {
 				r, _ := xhttp.NewRequest(t.Context(), http.MethodGet, "http://s:80/a", nil)
-				resp, err := c.DoNewConn(r)
+				resp, err := c.Do(r)
 				if err == nil {
 					_ = resp.Body.Close()
 				}
--- a/internal/emul/model/engine_test.go
+++ b/internal/emul/model/engine_test.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp, err := c.HTTP.DoNewConn(r)
+	resp, err := c.HTTP.Do(r)
 	if err == nil {
 		err = xhttp.DecodeJSON(resp, 1<<20, out)
 	}
--- a/internal/emul/model/memory.go
+++ b/internal/emul/model/memory.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := e.Client.DoNewConn(r)
+	resp, err := e.Client.Do(r)
 	if err != nil {
 		return false
 	}
--- a/internal/emul/wstore/store_test.go
+++ b/internal/emul/wstore/store_test.go
@@ -35,7 +35,6 @@
 			var n memnet.Net
 			defer n.Serve("w:80", tc.store)()
 			c := &xhttp.Client{Dial: n.Dial}
-			defer c.Close()
 			start := time.Now()
 			var wg sync.WaitGroup
 			for range tc.loads {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,7 +18,7 @@
 )
 
 type (
-	// Client calls engines over HTTP with a new connection per call; its fields are set before the first call.
+	// Client calls engines over HTTP; its fields are set before the first call.
 	Client struct {
 		Timeout time.Duration // of SendOrder, of Status and until Generate has the response header; 0 means 5 s
 		HTTP    xhttp.Client  // Dial may be set before the first call
@@ -45,7 +45,7 @@
 	}
 	r.Header.Set("Accept", eventStreamType)
 	timer := time.AfterFunc(c.timeout(), func() { cancel(errors.New("engine sent no response header in time")) })
-	resp, err := c.HTTP.DoNewConn(r)
+	resp, err := c.HTTP.Do(r)
 	if !timer.Stop() && err == nil {
 		_ = resp.Body.Close()
 		err = context.Cause(ctx)
@@ -103,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.HTTP.DoNewConn(r)
+	resp, err := c.HTTP.Do(r)
 	if err != nil {
 		return err
 	}
--- a/internal/kvapi/client.go
+++ b/internal/kvapi/client.go
@@ -127,9 +127,6 @@
 	return c.callForEntry(ctx, "watch", key, watchArgs{Key: key, After: after, WaitMS: wait.Milliseconds()}, wait)
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.HTTP.Close() }
-
 // callForEntry makes a call whose response is the entry of key.
 func (c *Client) callForEntry(ctx context.Context, kind, key string, args any, wait time.Duration) (Entry, error) {
 	var e Entry
--- a/internal/kvapi/client_test.go
+++ b/internal/kvapi/client_test.go
@@ -24,7 +24,6 @@
 		var n memnet.Net
 		defer n.Serve("kv:80", s)()
 		c := &kvapi.Client{URL: "http://kv:80", Stats: new(stats.Set), HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.Close()
 		f(t, c)
 	})
 }
@@ -185,7 +184,6 @@
 			Status: 200 + int(status%400), ContentType: contentType, Body: body,
 		}})
 		c := &kvapi.Client{URL: "http://kv:80", HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.Close()
 		ctx := context.Background()
 		if e, err := c.Get(ctx, "a"); err == nil && (e.Key != "a" || e.Version < 1) {
 			t.Errorf("entry %+v from %q", e, body)
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -29,15 +29,13 @@
 		HTTP xhttp.Client // Dial may be set before the first call
 	}
 
-	// Call is one attempt; ContentLength is the size of Body in bytes, or -1 if it is unknown. A NonIdempotent call
-	// is sent on a new connection.
+	// Call is one attempt; ContentLength is the size of Body in bytes, or -1 if it is unknown.
 	Call struct {
 		Method        string
 		URL           string
 		Header        http.Header
 		Body          io.Reader
 		ContentLength int64
-		NonIdempotent bool
 	}
 
 	// Response is the response of a service. The caller of Forward must close Body; its Read returns ErrTruncated
@@ -77,11 +75,7 @@
 		r.Body = io.NopCloser(call.Body)
 		r.ContentLength = call.ContentLength
 	}
-	send := c.HTTP.Do
-	if call.NonIdempotent {
-		send = c.HTTP.DoNewConn
-	}
-	resp, err := send(r)
+	resp, err := c.HTTP.Do(r)
 	if err != nil {
 		var re *xhttp.RequestError
 		return nil, &SendError{NotExecuted: errors.As(err, &re) && !re.MaybeSent, Reason: err.Error()}
--- a/internal/plain/client_test.go
+++ b/internal/plain/client_test.go
@@ -20,14 +20,13 @@
 	"github.com/figreel/figreel/internal/xhttp"
 )
 
-// withService runs f in a synctest bubble with a client that has an idle connection to the emulated service s.
+// withService runs f in a synctest bubble with a client that has called the emulated service s before.
 func withService(t *testing.T, s *svc.Service, f func(ctx context.Context, c *plain.Client)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var n memnet.Net
 		defer n.Serve("s:80", s)()
 		c := &plain.Client{HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		resp, err := c.Forward(t.Context(), plain.Call{Method: http.MethodGet, URL: "http://s:80/warm"})
 		if err != nil {
 			t.Fatal(err)
@@ -64,7 +63,6 @@
 			s.Fault.Set(tc.spec)
 			call := plain.Call{
 				Method: tc.method, URL: tc.url, Header: http.Header{"Idempotency-Key": {"k"}},
-				NonIdempotent: true,
 			}
 			if tc.method == http.MethodPost {
 				call.Body, call.ContentLength = strings.NewReader("charge"), 6
@@ -104,7 +102,6 @@
 		}
 		resp, err := c.Forward(t.Context(), plain.Call{
 			Method: http.MethodPost, URL: "http://s:80/x", Header: h, Body: strings.NewReader("b"), ContentLength: -1,
-			NonIdempotent: true,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -145,7 +142,6 @@
 		wantStatus := 200 + int(status%400)
 		s.Fault.Set(fault.Spec{Response: &fault.Response{Status: wantStatus, ContentType: contentType, Body: body}})
 		c := &plain.Client{HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		resp, err := c.Forward(context.Background(), plain.Call{Method: http.MethodGet, URL: "http://s:80/x"})
 		if err != nil {
 			return
@@ -186,7 +182,6 @@
 		if complete := err == nil; complete != (n == len(response)) {
 			t.Errorf("after %d of %d bytes: complete is %v", n, len(response), complete)
 		}
-		c.HTTP.Close()
 		_ = l.Close()
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -149,7 +149,7 @@
 	header.Set(headerRequestID, req.RequestID)
 	return p.Client.Forward(ctx, plain.Call{
 		Method: req.Method, URL: strings.TrimSuffix(up.URL, "/") + req.Path, Header: header,
-		Body: bytes.NewReader(req.Body), ContentLength: int64(len(req.Body)), NonIdempotent: !req.Idempotent,
+		Body: bytes.NewReader(req.Body), ContentLength: int64(len(req.Body)),
 	})
 }
 
--- a/internal/svcreg/client_test.go
+++ b/internal/svcreg/client_test.go
@@ -25,7 +25,6 @@
 		l := &hosts.Registry{Staleness: 3 * time.Second}
 		defer n.Serve("l:80", l)()
 		c := &svcreg.Client{URL: "http://l:80", HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		list := []svcreg.Host{{Name: "h1", Addr: "127.0.0.1:7000", Leaving: true}}
 		l.Set(list, []svcreg.Upstream{{Name: "e1"}})
 		steps := []struct {
@@ -61,7 +60,6 @@
 			Status: 200 + int(status%400), ContentType: contentType, Body: body,
 		}})
 		c := &svcreg.Client{URL: "http://l:80", HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		got, err := c.Fetch(context.Background(), 7)
 		if err == nil && !got.Unchanged && (got.Hosts == nil || got.Upstreams == nil) {
 			t.Errorf("list %+v from %q", got, body)
--- a/internal/weight/client_test.go
+++ b/internal/weight/client_test.go
@@ -23,7 +23,6 @@
 		var n memnet.Net
 		defer n.Serve("w:80", &wstore.Store{Items: []weight.Item{{Name: "m@1", MemoryMB: 7}}})()
 		c := &weight.Client{URL: "http://w:80", HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		if it, err := c.Item(t.Context(), "m@1"); err != nil || it.MemoryMB != 7 {
 			t.Errorf("got %+v, %v", it, err)
 		}
@@ -47,7 +46,6 @@
 			Status: 200 + int(status%400), ContentType: contentType, Body: body,
 		}})
 		c := &weight.Client{URL: "http://w:80", HTTP: xhttp.Client{Dial: n.Dial}}
-		defer c.HTTP.Close()
 		if it, err := c.Item(context.Background(), "m@1"); err == nil && (it.Name != "m@1" || it.MemoryMB < 1) {
 			t.Errorf("item %+v from %q", it, body)
 		}
--- a/internal/xhttp/client.go
+++ b/internal/xhttp/client.go
@@ -19,10 +19,7 @@
 )
 
 const (
-	dialTimeout = time.Second
-	// idleTimeout is below the usual server setting of a minute, so that the client closes idle connections first.
-	idleTimeout    = 30 * time.Second
-	maxIdlePerHost = 32
+	dialTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -30,13 +27,13 @@
 	// DialFunc opens a connection; tests replace it with an in-memory network.
 	DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	// Client sends each request at most once and follows no redirects; the zero value is ready to use.
+	// Client sends each request at most once, on a connection of its own, and follows no redirects; the zero value is
+	// ready to use.
 	Client struct {
 		Dial DialFunc // nil for TCP
 
-		initOnce  sync.Once
-		pooled    *http.Client // reuses idle connections
-		singleUse *http.Client // opens a new connection per request
+		initOnce sync.Once
+		client   *http.Client
 	}
 
 	// RequestError is the failure of a request that got no response. MaybeSent is false if no byte can have reached the
@@ -78,39 +75,26 @@
 	return r, nil
 }
 
-// Do sends the request once, on an idle connection if there is one; its error is a *RequestError.
+// Do sends the request once; its error is a *RequestError.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	c.init()
-	return sendOnce(r, c.pooled.Do)
-}
-
-// DoNewConn sends the request once on a new connection; its error is a *RequestError.
-func (c *Client) DoNewConn(r *http.Request) (*http.Response, error) {
-	c.init()
-	return sendOnce(r, c.singleUse.Do)
+	return sendOnce(r, c.client.Do)
 }
 
 // DoWithBreaker is like Do, but behind go-zero's circuit breaker of the given name; a request that the breaker rejects
 // is not sent, and its error has MaybeSent false.
 func (c *Client) DoWithBreaker(name string, r *http.Request) (*http.Response, error) {
 	c.init()
-	return sendOnce(r, httpc.NewServiceWithClient(name, c.pooled).DoRequest)
-}
-
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.init()
-	c.pooled.CloseIdleConnections()
+	return sendOnce(r, httpc.NewServiceWithClient(name, c.client).DoRequest)
 }
 
 func (c *Client) init() {
-	c.initOnce.Do(func() {
-		c.pooled = c.newHTTPClient(false)
-		c.singleUse = c.newHTTPClient(true)
-	})
+	c.initOnce.Do(func() { c.client = c.newHTTPClient() })
 }
 
-func (c *Client) newHTTPClient(disableKeepAlives bool) *http.Client {
+// newHTTPClient returns a client that keeps no connections: HTTP/1 has no request IDs, so on a kept connection a late
+// copy of an earlier response would be taken for the response to the next request.
+func (c *Client) newHTTPClient() *http.Client {
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
@@ -120,8 +104,7 @@
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: disableKeepAlives, DisableCompression: true, Protocols: protocols,
-			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleTimeout,
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, Protocols: protocols,
 			TLSHandshakeTimeout: dialTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/xhttp/client_test.go
+++ b/internal/xhttp/client_test.go
@@ -15,37 +15,48 @@
 
 // TestNoAutomaticRetry guards against net/http sending a request again when its connection breaks.
 func TestNoAutomaticRetry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var n memnet.Net
-		var injector fault.Injector
-		noRecord := func() any { return nil }
-		respond := func(w http.ResponseWriter, _ *http.Request) { fault.WriteJSON(w, http.StatusOK, struct{}{}) }
-		defer n.Serve("a:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			injector.Serve(w, r, respond, noRecord)
-		}))()
-		c := &xhttp.Client{Dial: n.Dial}
-		defer c.Close()
-		for _, path := range []string{"/warm", "/drop"} {
-			r, err := xhttp.NewRequest(t.Context(), http.MethodPost, "http://a:80"+path, 1)
-			if err != nil {
-				t.Fatal(err)
-			}
-			// net/http retries any request with this header if it can read the body again.
-			r.Header.Set("Idempotency-Key", "k")
-			resp, err := c.Do(r)
-			var re *xhttp.RequestError
-			if path == "/drop" && (!errors.As(err, &re) || !re.MaybeSent) {
-				t.Errorf("got %v, want a RequestError with MaybeSent", err)
-			}
-			if err == nil {
-				_ = xhttp.DecodeJSON(resp, 10, new(struct{}))
-			}
-			injector.Set(fault.Spec{DropRequest: true})
-		}
-		if got := injector.Requests("/drop"); got != 1 {
-			t.Errorf("%d requests arrived, want 1", got)
-		}
-	})
+	for _, tt := range []struct {
+		name   string
+		method string
+		body   any
+	}{
+		{"POST with a body", http.MethodPost, 1},
+		{"POST without a body", http.MethodPost, nil},
+		{"GET", http.MethodGet, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var n memnet.Net
+				var injector fault.Injector
+				noRecord := func() any { return nil }
+				respond := func(w http.ResponseWriter, _ *http.Request) { fault.WriteJSON(w, http.StatusOK, struct{}{}) }
+				defer n.Serve("a:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					injector.Serve(w, r, respond, noRecord)
+				}))()
+				c := &xhttp.Client{Dial: n.Dial}
+				for _, path := range []string{"/warm", "/drop"} {
+					r, err := xhttp.NewRequest(t.Context(), tt.method, "http://a:80"+path, tt.body)
+					if err != nil {
+						t.Fatal(err)
+					}
+					// net/http retries any request with this header if it can read the body again.
+					r.Header.Set("Idempotency-Key", "k")
+					resp, err := c.Do(r)
+					var re *xhttp.RequestError
+					if path == "/drop" && (!errors.As(err, &re) || !re.MaybeSent) {
+						t.Errorf("got %v, want a RequestError with MaybeSent", err)
+					}
+					if err == nil {
+						_ = xhttp.DecodeJSON(resp, 10, new(struct{}))
+					}
+					injector.Set(fault.Spec{DropRequest: true})
+				}
+				if got := injector.Requests("/drop"); got != 1 {
+					t.Errorf("%d requests arrived, want 1", got)
+				}
+			})
+		})
+	}
 }
 
 // TestDecodeJSON guards against a truncated, oversized or wrongly typed response that is accepted as valid.
@@ -73,7 +84,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			resp, err := c.DoNewConn(r)
+			resp, err := c.Do(r)
 			if err != nil {
 				t.Fatal(err)
 			}
