Give no status of a rejection to a generation that may have been executed

What callers saw: a generation that may be repeated, and that an engine had executed without a complete response, was answered 429 or 503 when the dispatcher rejected its next attempt (overloaded, host stopping, engines held). The outcome in the body said failed, the status said that nothing had been executed.

Cause: the dispatcher's rejection is copied for the caller. Its outcome was replaced by that of all attempts, its status was not.

Change: the status is 502 if an engine may have executed an earlier attempt. The code, the message and Retry-After stay.

Evidence: TestRejectedAfterExecution, with a real engine client and sockets, failed before in 2 of 4 rows (429 and 503 instead of 502); the other two, in which the engine states that it has not executed the first attempt, keep the status of the rejection.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -311,11 +311,15 @@
 	return e
 }
 
-// toAPIError returns the API error for err without its outcome. A rejection from the dispatcher is copied.
+// toAPIError returns the API error for err without its outcome. A rejection from the dispatcher is copied. Its status
+// says that the call was not executed, so it is replaced if an engine may have executed an earlier attempt.
 func (c *callState) toAPIError(ctx context.Context, err error) *answer.Error {
 	var rejected *answer.Error
 	if errors.As(err, &rejected) {
 		e := *rejected
+		if c.maybeExecuted {
+			e.Status = http.StatusBadGateway
+		}
 		return &e
 	}
 	switch {
