Pass on no status of a service that lets callers repeat a non-idempotent call

What callers saw: a non-idempotent call that a service had executed was answered 408, 429 or 503, with Retry-After, if the service answered so. Clients take these for a statement that nothing was executed, and send the call again; without an idempotency key it then runs twice. With a key the status was stored and replayed.

Cause: the response of a service was passed on as it was. A service of figreel serve has no way to state that it has not executed a call, and figreel host already replaces such a status unless the upstream states it.

Change: for non-idempotent calls the status is 502, without Retry-After; the body stays. Calls that may be repeated are answered as before. The event service_outcome_not_stated counts the replaced ones.

Evidence: TestStatusOfService, with sockets, failed before in 3 of 9 rows (408, 429 and 503 for a non-idempotent call).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 	maxAttempts       = 3 // attempts per request
 	copyBufferBytes   = 32 << 10
 	headerRequestID   = "X-Request-Id"
+	headerRetryAfter  = "Retry-After"
 	retryAfter        = time.Second
 	statusBadGateway  = http.StatusBadGateway
 	statusUnavailable = http.StatusServiceUnavailable
@@ -112,7 +113,7 @@
 // applyNotice records the pause that an upstream asks for with status 503, or that it has answered after one.
 func (p *Proxy) applyNotice(sentAt time.Time, upstream string, resp *plain.Response) {
 	n := topo.Notice{Partial: true}
-	if after := resp.Header.Get("Retry-After"); after != "" && resp.Status == statusUnavailable {
+	if after := resp.Header.Get(headerRetryAfter); after != "" && resp.Status == statusUnavailable {
 		var err error
 		if n.Hold, err = xhttp.ParseRetryAfter(after, time.Now()); err != nil {
 			p.Stats.CountEvent("retry_after_malformed")
@@ -216,7 +217,13 @@
 		return p.toAPIError(req, &requestState{maybeExecuted: true, lastErr: err})
 	}
 	copyHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.Status)
+	status := resp.Status
+	if !req.Idempotent && saysNotExecuted(status) {
+		p.Stats.CountEvent("service_outcome_not_stated")
+		w.Header().Del(headerRetryAfter)
+		status = statusBadGateway
+	}
+	w.WriteHeader(status)
 	truncated, werr := p.copyBody(w, resp.Body, buf, n, err)
 	if truncated {
 		return werr
@@ -260,6 +267,12 @@
 	panic(http.ErrAbortHandler)
 }
 
+// saysNotExecuted reports whether clients take a status for a statement that the request was not executed, which a
+// service does not make by it.
+func saysNotExecuted(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == statusUnavailable
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
