Log take-ups of streams and the software versions of upstreams

The logs could not tell a stream that a host continued within its response from one that its caller took up, and named no versions. A take-up now has the attempt that it resumes in its line and a counter, streams_taken_up; lines on upstreams, broken connections and ended calls have the software version, which is decoded from the entries.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,6 +30,9 @@
 // allowed.
 func (c *call) serveModel() {
 	c.lastEventID = c.r.Header.Get(c.s.Headers.LastEventID)
+	if c.takesUp = c.lastEventID != ""; c.takesUp {
+		c.s.Stats.CountEvent("streams_taken_up")
+	}
 	for {
 		decision, err := c.s.Tickets.RequestTicket(c.ctx, c.ticketRequest())
 		if err != nil {
@@ -192,7 +195,8 @@
 	for _, s := range c.spec.Segments {
 		segments = append(segments, strconv.FormatUint(s.ID, 16))
 	}
-	c.s.Log.Warn().Err(err).Str("call", c.id).Str("upstream", upstream).Bool("first_event", c.firstEventSent).
+	c.s.Log.Warn().Err(err).Str("call", c.id).Str("upstream", upstream).Str("software", c.grant.Software).
+		Bool("first_event", c.firstEventSent).
 		Strs("segments", segments).Str("request", strconv.FormatUint(c.spec.Request, 16)).
 		Msg("connection to upstream broke")
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -99,6 +99,7 @@
 	fallbackBody     []byte
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
+	takesUp          bool   // the caller takes a stream up
 	delayedBy        string // why no upstream took the call at first
 	grant            sched.Grant
 	timeToGrant      time.Duration // from the start to the last grant
@@ -335,6 +336,12 @@
 		e = e.Dur("granted_ms", c.timeToGrant).Uint64("ticket", c.grant.Ticket).Int("read", c.grant.PrefillTokens).
 			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams)
 	}
+	if c.takesUp {
+		e = e.Str("resumes", c.r.Header.Get(c.s.Headers.Resumes))
+	}
+	if c.grant.Software != "" {
+		e = e.Str("software", c.grant.Software)
+	}
 	if c.delayedBy != "" {
 		e = e.Str("delayed_by", c.delayedBy)
 	}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -51,6 +51,7 @@
 		Instance    string // id of the upstream that the request is for
 		NotExecuted string // set in the response to a request that was not executed
 		LastEventID string // id of the last event that the caller has, to resume a stream
+		Resumes     string // id of the attempt that brought the first event of that stream
 		Priority    string
 		RetryAfter  string
 		HostOnly    []string // headers that only hosts may set
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -445,7 +445,7 @@
 		}
 		if old := sc.upstreams[key]; old == nil || old.Leaving != u.Leaving || old.Boot != u.Boot {
 			sc.log.Info().Str("upstream", u.ID).Str("addr", u.Addr).Bool("leaving", u.Leaving).Int64("boot", u.Boot).
-				Str("via", from.via).Dur("age_ms", from.age).Msg("upstream changed")
+				Str("software", u.Software).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream changed")
 		}
 		u.Revision = it.Revision
 		sc.upstreams[key] = u
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -271,7 +271,7 @@
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
 		PrefillTokens: t.prefillTokens, PrefillTime: e.prefillBacklog(now), Streams: streams,
-		Probe: p.probe, DelayedBy: p.delayedBy,
+		Probe: p.probe, DelayedBy: p.delayedBy, Software: e.Software,
 	}}
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -100,6 +100,8 @@
 		Probe bool `cbor:"8,keyasint,omitempty"`
 		// DelayedBy is the reason if the call waited because of what engines state, or empty.
 		DelayedBy string `cbor:"9,keyasint,omitempty"`
+		// Software is the software version of the engine.
+		Software string `cbor:"10,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
--- a/internal/topo/types.go
+++ b/internal/topo/types.go
@@ -88,6 +88,7 @@
 		ID       string
 		Boot     int64 // start of the instance; differs for each start under the same ID
 		Service  string
+		Software string // version of its software, without an order; the instance's, not the ID's
 		Addr     string
 		Domain   string // failure domain
 		Leaving  bool
