Continue a stream within its response only at the version that began it

A response went on at an engine of another software version when its engine broke: the caller got a text joined from two versions. Cause: tickets for the rest of a stream did not say which version began it. The call now keeps the version of the engine whose event came first, and its further ticket requests require that version; before that event any engine will do. The scheduler considers engines of that version only, and rejects the call at once (version_gone) if none of them has the model or is loading it: placement goes by the demand for a model, whatever the version.

TestContinuationKeepsVersion, TestContinuationWaitsForLoad, TestVersionWithinResponse are new.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -28,6 +28,7 @@
 // connection, and HANG waits until the host closes it.
 type upstream struct {
 	id         string // of the engine in its grants; empty is e
+	software   string // version of the engine in its grants
 	addr       string
 	mu         sync.Mutex
 	received   []*http.Request
@@ -116,7 +117,9 @@
 	}
 	e := f.engines[f.granted]
 	f.granted++
-	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{Engine: cmp.Or(e.id, "e"), Addr: e.addr}}, nil
+	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{
+		Engine: cmp.Or(e.id, "e"), Addr: e.addr, Software: e.software,
+	}}, nil
 }
 
 func (f *fakeTickets) FirstEvent(sched.Grant, *topo.Load) {}
@@ -160,12 +163,12 @@
 	t.Helper()
 	list := make([]*topo.Upstream, 0, len(plain))
 	for i, u := range plain {
-		list = append(list, &topo.Upstream{ID: string(rune('a' + i)), Addr: u.addr})
+		list = append(list, &topo.Upstream{ID: string(rune('a' + i)), Addr: u.addr, Software: u.software})
 	}
 	tk := &fakeTickets{engines: engines}
 	s := &entry.Server{
 		Headers: entry.Headers{
-			ID: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", NotExecuted: "X-Notrun", LastEventID: "Last-Event-Id",
+			ID: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", NotExecuted: "X-Notrun", LastEventID: "Last-Event-Id", Resumes: "X-Resumes",
 			Priority: "X-Priority", RetryAfter: "Retry-After", HostOnly: []string{"X-Deadline", "X-Priority", "X-Own"},
 		},
 		ParseSpec:   func(h http.Header) (topo.CallSpec, error) { return topo.CallSpec{Model: h.Get("X-Model")}, nil },
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -72,6 +72,7 @@
 		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.route.Priority,
 		TargetLatency: c.route.TargetLatency, Remaining: time.Until(c.deadline), Tried: c.tried,
 		GapTarget: c.route.GapTarget, FirstEventIn: time.Until(c.firstEventDeadline()),
+		Software: c.software,
 	}
 }
 
@@ -243,7 +244,7 @@
 	if !c.headerSent {
 		copyHeader(c.w.Header(), res.Header)
 		c.w.WriteHeader(res.Status)
-		c.headerSent = true
+		c.headerSent, c.software = true, g.Software
 	}
 	if id := lastEventID(events); id != "" {
 		c.lastEventID = id
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,7 @@
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
 	takesUp          bool   // the caller takes a stream up
+	software         string // software version whose events the caller has, empty before the first one
 	delayedBy        string // why no upstream took the call at first
 	grant            sched.Grant
 	timeToGrant      time.Duration // from the start to the last grant
--- /dev/null
+++ b/internal/entry/version_test.go
@@ -0,0 +1,48 @@
+package entry_test
+
+import (
+	"testing"
+
+	"github.com/figreel/figreel/internal/topo"
+)
+
+// Guards against a stream that goes on at another software version within its response: it has the version of the engine
+// whose event came first, not that of the first attempt, and any version will do before the first event.
+func TestVersionWithinResponse(t *testing.T) {
+	begun := join(sseHeader, chunk(event("1")))
+	rest := join(sseHeader, chunk(event("2")), "0\n\n")
+	for _, tt := range []struct {
+		name    string
+		scripts []string // of engines v1, v2, v3
+		want    []string // versions that the ticket requests require
+	}{
+		{"complete", []string{join(begun, "0\n\n")}, []string{""}},
+		{"breaks after an event", []string{begun + "RESET", rest}, []string{"", "v1"}},
+		{"breaks within the first event", []string{join(sseHeader, "9\nid: 1\nRESET"), rest}, []string{"", ""}},
+		{"breaks before the response", []string{"RESET", rest}, []string{"", ""}},
+		{"not executed at first", []string{notExecuted, begun + "RESET", rest}, []string{"", "", "v2"}},
+		{"breaks before an event, then after one", []string{"RESET", begun + "RESET", rest}, []string{"", "", "v2"}},
+		{"breaks twice", []string{begun + "RESET", join(sseHeader, chunk(event("2"))) + "RESET", rest}, []string{"", "v1", "v1"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var engines []*upstream
+			for i, s := range tt.scripts {
+				u := newUpstream(t, s)
+				u.software = "v" + string(rune('1'+i))
+				engines = append(engines, u)
+			}
+			srv, tk := newServer(t, config(topo.Stream, true, 3), nil, engines, 5)
+			if _, _, _, err := send(t, srv.URL, "/m/x", "body"); err != nil {
+				t.Fatal(err)
+			}
+			if len(tk.requests) != len(tt.want) {
+				t.Fatalf("%d ticket requests, want %d", len(tk.requests), len(tt.want))
+			}
+			for i, q := range tk.requests {
+				if q.Software != tt.want[i] {
+					t.Errorf("ticket request %d requires %q, want %q", i, q.Software, tt.want[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -30,6 +30,9 @@
 	if !p.probe && s.Poison.Blocks(&p.Spec) {
 		return s.reject(p, ReasonQuarantine, QuarantineRetryAfter)
 	}
+	if p.Software != "" && !s.hasVersion(p) {
+		return s.reject(p, ReasonVersionGone, maxRetryAfter)
+	}
 	if dec, ok := s.waitForAdapter(now, p); ok {
 		return dec
 	}
@@ -88,7 +91,7 @@
 	var best *candidate
 	replicas := 0
 	for _, e := range s.holders(p.modelKey()) {
-		if !s.serves(now, e, p.Spec.Model) {
+		if !s.serves(now, e, p.Spec.Model) || !p.fits(e) {
 			continue
 		}
 		replicas++
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -26,6 +26,9 @@
 	ReasonLimit = "limit_of_engines"
 	// ReasonHold rejects a call because the engines of its model want no calls from its host for a while.
 	ReasonHold = "hold_of_engines"
+	// ReasonVersionGone rejects a call that continues a stream, because no engine of the software version that began the
+	// stream can serve it.
+	ReasonVersionGone = "version_gone"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -67,6 +70,8 @@
 		FirstEventIn time.Duration `cbor:"10,keyasint,omitempty"`
 		// Holds are the engines that want no calls from the host that received the call, and for how long.
 		Holds []Hold `cbor:"11,keyasint,omitempty"`
+		// Software is the software version that the engine must have; empty allows any.
+		Software string `cbor:"14,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
--- /dev/null
+++ b/internal/sched/version_test.go
@@ -0,0 +1,101 @@
+package sched_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/topo"
+)
+
+// mixedUpstreams returns four engines, e0 and e1 of version v1, e2 and e3 of version v2.
+func mixedUpstreams() []*topo.Upstream {
+	list := upstreams(4)
+	for i, u := range list {
+		if u.Software = "v1"; i >= 2 {
+			u.Software = "v2"
+		}
+	}
+	return list
+}
+
+// Guards against a stream that goes on at another software version than the one that began it, and against a call that
+// waits although no engine of that version can serve it.
+func TestContinuationKeepsVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		software string
+		change   func(list []*topo.Upstream)
+		want     []string // engines that may serve the call; none if it is rejected
+	}{
+		{"no version required", "", func([]*topo.Upstream) {}, []string{"e0", "e1", "e2", "e3"}},
+		{"first version", "v1", func([]*topo.Upstream) {}, []string{"e0", "e1"}},
+		{"second version", "v2", func([]*topo.Upstream) {}, []string{"e2", "e3"}},
+		{"version without engines", "v3", func([]*topo.Upstream) {}, nil},
+		{"engine started again with the other version", "v1", func(l []*topo.Upstream) {
+			l[0].Boot, l[0].Software = 2, "v2"
+		}, []string{"e1"}},
+		{"engine started again with that version", "v2", func(l []*topo.Upstream) {
+			l[0].Boot, l[0].Software = 2, "v2"
+		}, []string{"e0", "e2", "e3"}},
+		{"one engine of the version leaves", "v1", func(l []*topo.Upstream) { l[0].Leaving = true }, []string{"e1"}},
+		{"all engines of the version leave", "v1", func(l []*topo.Upstream) {
+			l[0].Leaving, l[1].Leaving = true, true
+		}, nil},
+		{"engines of the version lack the model", "v1", func(l []*topo.Upstream) {
+			for _, u := range l[:2] {
+				u.Boot, u.Models = 2, nil
+			}
+		}, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler(0)
+			s.SetUpstreams(start, mixedUpstreams())
+			list := mixedUpstreams()
+			tt.change(list)
+			s.SetUpstreams(start, list)
+			q := call("a", 100)
+			q.Software = tt.software
+			got := s.Schedule(start, q)
+			if len(tt.want) == 0 {
+				if got.Kind != sched.Rejected || got.Reason != sched.ReasonVersionGone {
+					t.Errorf("%+v, want a rejection at once", got)
+				}
+				return
+			}
+			if got.Kind != sched.Granted || !slices.Contains(tt.want, got.Grant.Engine) {
+				t.Errorf("%+v, want one of %q", got, tt.want)
+			}
+			for _, u := range list {
+				if u.ID == got.Grant.Engine && u.Software != got.Grant.Software {
+					t.Errorf("the grant has version %q, the engine %q", got.Grant.Software, u.Software)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a call that is rejected at once although an engine of its version is loading the model, and against one
+// that is sent to an engine of another version meanwhile.
+func TestContinuationWaitsForLoad(t *testing.T) {
+	s := newScheduler(0)
+	list := mixedUpstreams()
+	list[0].Models, list[1].Models = nil, nil
+	s.SetUpstreams(start, list)
+	s.OrderAccepted(start, "e1", &topo.Order{Model: "m"}, 1)
+	q := call("a", 100)
+	q.Software = "v1"
+	if got := s.Schedule(start, q); got.Kind != sched.Waiting {
+		t.Fatalf("%+v, want the call to wait for the load", got)
+	}
+	s.SetReport(start.Add(time.Second), "e1", &topo.Report{Boot: 1, Sequence: 1, Models: []topo.Resident{{Name: "m"}}})
+	for _, got := range s.Step(start.Add(time.Second)) {
+		if got.Kind != sched.Granted || got.Grant.Engine != "e1" {
+			t.Errorf("%+v, want e1", got)
+		}
+	}
+	if n := s.Waiting(); n != 0 {
+		t.Errorf("%d calls wait", n)
+	}
+}
