Take up streams only at the software version that began them

A caller that took up a stream at any host got the rest from an engine of any version: Resumes was passed on and not read. The host that relays the first event of a stream now remembers the version of the engine and tells the leader with the message that reports the event; a host tells a new leader the streams that began at it. A ticket request for a take-up names the attempt that brought the first event, and is granted at that version only. Where nobody remembers the stream, it can only go on if the host has known of one version for as long as a stream can last; else the call is rejected at once (version_unknown). A grant for an engine that this host knows to have started again with other software is not used.

TestTakeUp, TestTakeUpNamesItsStream, TestVersions, TestRecords and the new row of TestGrantOfOutdatedLeader.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -29,10 +29,7 @@
 // serveModel sends the call to one engine after another until its response is complete or no further attempt is
 // allowed.
 func (c *call) serveModel() {
-	c.lastEventID = c.r.Header.Get(c.s.Headers.LastEventID)
-	if c.takesUp = c.lastEventID != ""; c.takesUp {
-		c.s.Stats.CountEvent("streams_taken_up")
-	}
+	c.noteTakeUp()
 	for {
 		decision, err := c.s.Tickets.RequestTicket(c.ctx, c.ticketRequest())
 		if err != nil {
@@ -59,6 +56,14 @@
 	}
 }
 
+// noteTakeUp records whether the caller takes up a stream.
+func (c *call) noteTakeUp() {
+	c.lastEventID = c.r.Header.Get(c.s.Headers.LastEventID)
+	if c.takesUp = c.lastEventID != "" && c.route.Kind == topo.Stream; c.takesUp {
+		c.s.Stats.CountEvent("streams_taken_up")
+	}
+}
+
 func (c *call) handleRejection(decision sched.Decision) {
 	if c.headerSent || c.mayHaveExecuted {
 		c.finishWithoutResponse(decision.Reason)
@@ -72,7 +77,8 @@
 		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.route.Priority,
 		TargetLatency: c.route.TargetLatency, Remaining: time.Until(c.deadline), Tried: c.tried,
 		GapTarget: c.route.GapTarget, FirstEventIn: time.Until(c.firstEventDeadline()),
-		Software: c.software,
+		Software: c.software, TakesUp: c.takesUp, Resumes: c.r.Header.Get(c.s.Headers.Resumes),
+		Resumable: c.route.Resumable,
 	}
 }
 
--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -46,3 +46,32 @@
 		})
 	}
 }
+
+// Guards against a take-up whose ticket request does not say which stream it continues, and against a stream that counts
+// as begun by an attempt that took it up.
+func TestTakeUpNamesItsStream(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		header  []string
+		takesUp bool
+		resumes string
+		begins  bool
+	}{
+		{"new stream", nil, false, "", true},
+		{"take-up", []string{"Last-Event-Id", "3", "X-Resumes", "first"}, true, "first", false},
+		{"take-up without the attempt", []string{"Last-Event-Id", "3"}, true, "", false},
+		{"repeat before the first event", []string{"X-Resumes", "first"}, false, "first", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, join(sseHeader, chunk(event("4")), "0\n\n"))
+			srv, tk := newServer(t, config(topo.Stream, true, 2), nil, []*upstream{u}, 5)
+			if _, _, _, err := send(t, srv.URL, "/m/x", "body", tt.header...); err != nil {
+				t.Fatal(err)
+			}
+			q := tk.requests[0]
+			if q.TakesUp != tt.takesUp || q.Resumes != tt.resumes || q.BeginsStream() != tt.begins {
+				t.Errorf("takes up %v, resumes %q, begins %v", q.TakesUp, q.Resumes, q.BeginsStream())
+			}
+		})
+	}
+}
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -16,6 +16,7 @@
 		s.scheduler.RestoreTicket(time.Now(), t)
 		f.tickets[t.Grant.Ticket] = true
 	}
+	s.scheduler.Streams.Learn(time.Now(), hello.Streams...)
 	s.mu.Unlock()
 	for {
 		m, err := c.Receive()
@@ -48,6 +49,7 @@
 		s.mu.Lock()
 		s.scheduler.SetLoad(time.Now(), m.Ticket, m.Load)
 		s.scheduler.FirstEvent(time.Now(), m.Ticket)
+		s.scheduler.Streams.Learn(time.Now(), m.Streams...)
 		s.mu.Unlock()
 	case link.Release:
 		s.mu.Lock()
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -16,6 +16,7 @@
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
@@ -81,6 +82,27 @@
 
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
+	start := time.Now()
+	if req.TakesUp && req.Software == "" {
+		req.Software = s.softwareOf(req.Resumes)
+	}
+	decision, err := s.requestTicket(ctx, req)
+	if err != nil || decision.Reason != sched.ReasonVersionUnknown {
+		return decision, err
+	}
+	software, ok := s.findSoftware(&req)
+	s.log.Info().Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).Bool("found", ok).
+		Dur("took_ms", time.Since(start)).Msg("software version of a stream looked up")
+	if !ok {
+		return decision, nil
+	}
+	req.Software = software
+	req.Remaining -= time.Since(start)
+	return s.requestTicket(ctx, req)
+}
+
+// requestTicket requests a ticket from the leader, or from the local scheduler if the leader does not reply.
+func (s *ticketService) requestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
 	req.Holds = s.holds()
 	if leader := s.usableLeaderConn(); leader != nil {
@@ -105,15 +127,21 @@
 // FirstEvent reports the first event of a response, and the load that the engine stated with it or nil, to the local
 // scheduler and to that of the leader.
 func (s *ticketService) FirstEvent(g sched.Grant, load *topo.Load) {
+	m := &link.Message{Kind: link.FirstEvent, Ticket: g.Ticket, Load: load}
 	s.mu.Lock()
 	if t := s.openTickets[g.Ticket]; t != nil {
 		t.FirstEvent = true
+		if t.Request.BeginsStream() {
+			begun := vers.Record{Stream: vers.Stream(t.Request.Call), Software: s.scheduler.SoftwareOf(g)}
+			s.scheduler.Streams.Begin(time.Now(), begun)
+			m.Streams = append(m.Streams, begun)
+		}
 	}
 	s.scheduler.SetLoad(time.Now(), g.Ticket, load)
 	s.scheduler.FirstEvent(time.Now(), g.Ticket)
 	leader := s.leaderConn
 	s.mu.Unlock()
-	s.send(leader, &link.Message{Kind: link.FirstEvent, Ticket: g.Ticket, Load: load})
+	s.send(leader, m)
 }
 
 // Release returns a ticket to the local scheduler and to that of the leader.
@@ -329,6 +357,10 @@
 		s.log.Warn().Str("call", req.Call).Str("upstream", g.Engine).Msg("leader granted a departed engine")
 		s.stats.CountEvent("departed_grant")
 		return false
+	case s.hasOtherSoftware(g):
+		s.log.Info().Str("call", req.Call).Str("upstream", g.Engine).Msg("leader granted an engine that has started again")
+		s.stats.CountEvent("outdated_grant")
+		return false
 	case !g.Probe && s.blocks(&req.Spec):
 		s.stats.CountEvent("quarantined_grant")
 		return false
@@ -391,7 +423,7 @@
 }
 
 // serveLeader handles one connection to the leader until it ends or the leader changes. It first sends the open tickets
-// of this host, which the leader restores.
+// of this host, which the leader restores, and the streams that began here.
 func (s *ticketService) serveLeader(ctx context.Context, leader elect.Leader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -408,10 +440,7 @@
 		}
 	}()
 	s.mu.Lock()
-	hello := &link.Message{Kind: link.Hello, Host: s.self}
-	for _, t := range s.openTickets {
-		hello.OpenTickets = append(hello.OpenTickets, *t)
-	}
+	hello := s.hello()
 	s.mu.Unlock()
 	if err := c.Send(hello); err != nil {
 		return err
@@ -430,6 +459,15 @@
 	return err
 }
 
+// hello returns the first message to a leader: what it has to know of this host's calls. s.mu is held.
+func (s *ticketService) hello() *link.Message {
+	m := &link.Message{Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own()}
+	for _, t := range s.openTickets {
+		m.OpenTickets = append(m.OpenTickets, *t)
+	}
+	return m
+}
+
 func (s *ticketService) readReplies(c *link.Conn) error {
 	for {
 		m, err := c.Receive()
--- a/internal/host/tickets_test.go
+++ b/internal/host/tickets_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// Guards against calls to an engine that this host knows to have left, and against calls that this host knows to crash
-// engines, because a leader that does not know it yet has granted them.
+// Guards against calls to an engine that this host knows to have left or to have started again with other software, and
+// against calls that this host knows to crash engines, because a leader that does not know it yet has granted them.
 func TestGrantOfOutdatedLeader(t *testing.T) {
 	nothing := func(*stub.Store, *ticketService) {}
 	quarantine := func(_ *stub.Store, tickets *ticketService) {
@@ -73,6 +73,16 @@
 			sched.Grant{Engine: "e1"},
 			"local",
 		},
+		{
+			"started again with other software", func(_ *stub.Store, tickets *ticketService) {
+				tickets.scheduler.SetUpstreams(time.Now(), []*topo.Upstream{
+					{ID: "e1", Boot: 2, Service: "llm", Slots: 8, Software: "v2"},
+					{ID: "local", Service: "llm", Slots: 8, Software: "v1", Models: []topo.Resident{{Name: "m"}}},
+				})
+			},
+			sched.Grant{Engine: "e1", Boot: 1, Software: "v1"},
+			"local",
+		},
 		{"quarantined", quarantine, sched.Grant{Engine: "e1"}, ""},
 		{"quarantined, to be tested", quarantine, sched.Grant{Engine: "e1", Probe: true}, "e1"},
 	} {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,6 +15,7 @@
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
 )
 
 // sendTimeout is the write timeout of one message, for peers that do not read.
@@ -86,6 +87,9 @@
 		Notices *notice.State `cbor:"18,keyasint,omitempty"`
 		// Token is the fencing token of the sender of StepDown.
 		Token int64 `cbor:"19,keyasint,omitempty"`
+		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
+		// FirstEvent the one that the event began.
+		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -7,6 +7,7 @@
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
@@ -97,6 +98,10 @@
 	// minRetryAfter and maxRetryAfter bound the retry time of a rejected call.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// unknownRetryAfter is the retry time of a call that takes up a stream that is not known yet.
+	unknownRetryAfter = 250 * time.Millisecond
+	// lifeTimeouts is how long a stream can last with all attempts of its caller, in timeouts of its route.
+	lifeTimeouts = 2
 	// QuarantineRetryAfter is the retry time of a quarantined call.
 	QuarantineRetryAfter = maxRetryAfter
 )
@@ -112,6 +117,8 @@
 	Poison poison.Table
 	// Notices holds what engines state about the calls that they take; nil holds nothing.
 	Notices *notice.Table
+	// Streams holds the software versions that began streams.
+	Streams vers.Table
 	// LimitShare is the share of the engines' limits that the calls of this scheduler may use.
 	LimitShare float64
 
@@ -136,6 +143,7 @@
 		return
 	}
 	s.config = c
+	s.Streams.Life = streamLife(c)
 	s.models = make(map[modelKey]*topo.Model)
 	for name, service := range c.Services {
 		if service.Engine == nil {
@@ -151,6 +159,7 @@
 // SetUpstreams replaces the set of engines. An engine whose Boot has changed was restarted, so its state is reset.
 func (s *Scheduler) SetUpstreams(now time.Time, list []*topo.Upstream) {
 	s.init()
+	s.Streams.SetListed(now, list)
 	for _, e := range s.engines {
 		e.listed = false
 	}
@@ -264,6 +273,15 @@
 	if s.models[q.modelKey()] == nil {
 		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
 	}
+	if q.TakesUp && q.Software == "" {
+		software, ok := s.Streams.Lookup(q.Resumes)
+		if !ok {
+			return Decision{
+				Kind: Rejected, Call: q.Call, Reason: ReasonVersionUnknown, RetryAfter: unknownRetryAfter,
+			}
+		}
+		q.Software = software
+	}
 	if len(q.Tried) == 0 {
 		s.addDemand(now, &q)
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -29,6 +29,8 @@
 	// ReasonVersionGone rejects a call that continues a stream, because no engine of the software version that began the
 	// stream can serve it.
 	ReasonVersionGone = "version_gone"
+	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began it.
+	ReasonVersionUnknown = "version_unknown"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -70,8 +72,14 @@
 		FirstEventIn time.Duration `cbor:"10,keyasint,omitempty"`
 		// Holds are the engines that want no calls from the host that received the call, and for how long.
 		Holds []Hold `cbor:"11,keyasint,omitempty"`
+		// TakesUp is set if the caller takes up a stream. Resumes is the ID of the attempt that began it, or empty if the
+		// caller does not name it.
+		TakesUp bool   `cbor:"12,keyasint,omitempty"`
+		Resumes string `cbor:"13,keyasint,omitempty"`
 		// Software is the software version that the engine must have; empty allows any.
 		Software string `cbor:"14,keyasint,omitempty"`
+		// Resumable is set if the stream can be taken up.
+		Resumable bool `cbor:"15,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
@@ -176,6 +184,9 @@
 	return &pending{Request: q, prefixKeys: prefixKeys(&q.Spec), arrived: now, deadline: now.Add(wait)}
 }
 
+// BeginsStream reports whether the first event of the response begins a stream that can be taken up.
+func (q *Request) BeginsStream() bool { return q.Resumable && !q.TakesUp && q.Software == "" }
+
 // modelKey returns the service and model that the call requests.
 func (q *Request) modelKey() modelKey { return modelKey{q.Service, q.Spec.Model} }
 
--- a/internal/sched/version.go
+++ b/internal/sched/version.go
@@ -1,6 +1,11 @@
 package sched
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/figreel/figreel/internal/topo"
+)
 
 // fits reports whether the engine has the software version that the call requires.
 func (p *pending) fits(e *engine) bool { return p.Software == "" || p.Software == e.Software }
@@ -12,3 +17,23 @@
 	k := p.modelKey()
 	return slices.ContainsFunc(s.holders(k), usable) || slices.ContainsFunc(s.loaders(k), usable)
 }
+
+// SoftwareOf returns the software version of the engine of a grant. An engine that this scheduler knows to have started
+// again since then has that of its newer instance.
+func (s *Scheduler) SoftwareOf(g Grant) string {
+	if e := s.engines[g.Engine]; e != nil && e.Boot > g.Boot {
+		return e.Software
+	}
+	return g.Software
+}
+
+// streamLife returns how long a stream can last with all attempts of its caller.
+func streamLife(c *topo.Config) time.Duration {
+	var longest time.Duration
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Kind == topo.Stream && r.Resumable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return lifeTimeouts * longest
+}
--- a/internal/sched/version_test.go
+++ b/internal/sched/version_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
 )
 
 // mixedUpstreams returns four engines, e0 and e1 of version v1, e2 and e3 of version v2.
@@ -99,3 +100,28 @@
 		t.Errorf("%d calls wait", n)
 	}
 }
+
+// Guards against a stream that is taken up at another version than the one that began it, also a second time, and
+// against a take-up of an unknown stream that is served by any version.
+func TestTakeUp(t *testing.T) {
+	s := newScheduler(0)
+	s.SetUpstreams(start, mixedUpstreams())
+	s.Streams.Begin(start, vers.Record{Stream: vers.Stream("first"), Software: "v2"})
+	for _, tt := range []struct{ name, call, resumes, want string }{
+		{"known", "b", "first", "v2"},
+		{"known, second time", "c", "first", "v2"},
+		{"named by a later attempt", "d", "b", ""},
+		{"unknown", "e", "other", ""},
+		{"not named", "f", "", ""},
+	} {
+		q := call(tt.call, 100)
+		q.TakesUp, q.Resumes = true, tt.resumes
+		got := s.Schedule(start, q)
+		switch {
+		case tt.want == "" && (got.Kind != sched.Rejected || got.Reason != sched.ReasonVersionUnknown || got.RetryAfter <= 0):
+			t.Errorf("%s: %+v, want a rejection with a retry time", tt.name, got)
+		case tt.want != "" && (got.Kind != sched.Granted || got.Grant.Software != tt.want):
+			t.Errorf("%s: %+v, want version %s", tt.name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/vers/table.go
@@ -0,0 +1,191 @@
+package vers
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figreel/figreel/internal/topo"
+)
+
+// minRetention is the time for which records are kept at least.
+const minRetention = 10 * time.Second
+
+type (
+	// Record says which software version began a stream.
+	Record struct {
+		Stream   uint64 `cbor:"1,keyasint"` // see Stream
+		Software string `cbor:"2,keyasint"`
+	}
+
+	// Table holds the records and the versions in service that one host knows; its zero value is empty.
+	Table struct {
+		// Life is how long a stream can last with all attempts of its caller; records are kept for that long at least.
+		Life time.Duration
+
+		// Records are kept in two generations, so that the older half can be dropped at once.
+		recent, old map[uint64]entry
+		rotatedAt   time.Time
+		since       time.Time // when the versions in service were first known
+		listed      map[version]bool
+		lastSeen    map[version]time.Time // when a version was last known to be in service
+	}
+
+	version struct{ service, software string }
+
+	entry struct {
+		software string
+		own      bool // the stream began at this host
+		saved    bool
+	}
+)
+
+// Stream returns what identifies the stream that an attempt began, from the ID of that attempt.
+func Stream(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Begin records that a stream began at this host.
+func (t *Table) Begin(now time.Time, r Record) { t.put(now, r, entry{own: true}) }
+
+// Learn records what another host knows of a stream.
+func (t *Table) Learn(now time.Time, list ...Record) {
+	for _, r := range list {
+		t.put(now, r, entry{})
+	}
+}
+
+// Load records what the store has of a stream.
+func (t *Table) Load(now time.Time, list ...Record) {
+	for _, r := range list {
+		t.put(now, r, entry{saved: true})
+	}
+}
+
+// put adds a record; the version that began a stream never changes.
+func (t *Table) put(now time.Time, r Record, e entry) {
+	if now.Sub(t.rotatedAt) >= t.Retention() {
+		t.recent, t.old = make(map[uint64]entry), t.recent
+		t.rotatedAt = now
+	}
+	known, ok := t.lookup(r.Stream)
+	if ok {
+		e = entry{software: known.software, own: known.own || e.own, saved: known.saved || e.saved}
+	} else {
+		e.software = r.Software
+	}
+	t.recent[r.Stream] = e
+}
+
+func (t *Table) lookup(stream uint64) (entry, bool) {
+	if e, ok := t.recent[stream]; ok {
+		return e, true
+	}
+	e, ok := t.old[stream]
+	return e, ok
+}
+
+// Lookup returns the software version that began the stream of an attempt, and false if it is not known.
+func (t *Table) Lookup(id string) (software string, ok bool) {
+	e, ok := t.lookup(Stream(id))
+	return e.software, ok
+}
+
+// Own returns the records of the streams that began at this host.
+func (t *Table) Own() []Record { return t.records(func(e entry) bool { return e.own }) }
+
+// Unsaved returns the records that are not in the store.
+func (t *Table) Unsaved() []Record { return t.records(func(e entry) bool { return !e.saved }) }
+
+func (t *Table) records(want func(entry) bool) []Record {
+	var out []Record
+	for _, m := range []map[uint64]entry{t.recent, t.old} {
+		for stream, e := range m {
+			if want(e) {
+				out = append(out, Record{Stream: stream, Software: e.software})
+			}
+		}
+	}
+	return out
+}
+
+// SetSaved records that the store has records, or with saved false that it may have lost them.
+func (t *Table) SetSaved(list []Record, saved bool) {
+	for _, r := range list {
+		for _, m := range []map[uint64]entry{t.recent, t.old} {
+			if e, ok := m[r.Stream]; ok {
+				e.saved = saved
+				m[r.Stream] = e
+			}
+		}
+	}
+}
+
+// Forget records that the store may have lost all records.
+func (t *Table) Forget() { t.SetSaved(t.records(func(entry) bool { return true }), false) }
+
+// SetListed records the upstreams in service.
+func (t *Table) SetListed(now time.Time, list []*topo.Upstream) {
+	if t.since.IsZero() {
+		t.since = now
+	}
+	// The versions of the previous list were in service until now.
+	for v := range t.listed {
+		t.setInService(now, v)
+	}
+	t.listed = make(map[version]bool)
+	for _, u := range list {
+		v := version{u.Service, u.Software}
+		t.listed[v] = true
+		t.setInService(now, v)
+	}
+	maps.DeleteFunc(t.lastSeen, func(v version, _ time.Time) bool { return !t.matters(now, v) })
+}
+
+// SetInService records that a version of a service was in service just now.
+func (t *Table) SetInService(now time.Time, service, software string) {
+	t.setInService(now, version{service, software})
+}
+
+func (t *Table) setInService(now time.Time, v version) {
+	if t.lastSeen == nil {
+		t.lastSeen = make(map[version]time.Time)
+	}
+	t.lastSeen[v] = now
+}
+
+// matters reports whether streams of a version may still be taken up.
+func (t *Table) matters(now time.Time, v version) bool {
+	return t.listed[v] || now.Sub(t.lastSeen[v]) <= t.Retention()
+}
+
+// Versions returns the versions of a service of which streams may still be taken up, as far as this host knows, sorted.
+func (t *Table) Versions(now time.Time, service string) []string {
+	var out []string
+	for v := range t.lastSeen {
+		if v.service == service && t.matters(now, v) {
+			out = append(out, v.software)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Mixed returns the services with several versions of which streams may still be taken up, with these versions.
+func (t *Table) Mixed(now time.Time) map[string][]string {
+	out := make(map[string][]string)
+	for v := range t.lastSeen {
+		if list := t.Versions(now, v.service); len(list) > 1 {
+			out[v.service] = list
+		}
+	}
+	return out
+}
+
+// Complete reports whether this host has known the versions in service for as long as a stream can last.
+func (t *Table) Complete(now time.Time) bool {
+	return !t.since.IsZero() && now.Sub(t.since) >= t.Retention()
+}
+
+// Retention returns how long records are kept at least.
+func (t *Table) Retention() time.Duration { return max(t.Life, minRetention) }
--- /dev/null
+++ b/internal/vers/table_test.go
@@ -0,0 +1,122 @@
+package vers_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
+)
+
+const life = 20 * time.Second
+
+func listed(versions ...string) []*topo.Upstream {
+	var out []*topo.Upstream
+	for i, v := range versions {
+		out = append(out, &topo.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Software: v})
+	}
+	return out
+}
+
+// Guards against a version that is forgotten while its streams may still be taken up, and against one that is remembered
+// for ever, because all take-ups of unknown streams would be rejected.
+func TestVersions(t *testing.T) {
+	type step struct {
+		at       time.Duration
+		list     []string
+		changes  bool // the list has changed
+		want     []string
+		complete bool
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+	}{
+		{"one version", []step{
+			{0, []string{"v1"}, true, []string{"v1"}, false}, {life, nil, false, []string{"v1"}, true},
+			{10 * life, nil, false, []string{"v1"}, true},
+		}},
+		{"a second version", []step{
+			{0, []string{"v1"}, true, []string{"v1"}, false},
+			{time.Second, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
+		}},
+		{"the first version leaves", []step{
+			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
+			{time.Second, []string{"v2"}, true, []string{"v1", "v2"}, false},
+			{life, nil, false, []string{"v1", "v2"}, true},
+			{time.Second + life + 1, nil, false, []string{"v2"}, true},
+		}},
+		{"the first version leaves after a long time without changes", []step{
+			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
+			{10 * life, []string{"v2"}, true, []string{"v1", "v2"}, true},
+			{11 * life, nil, false, []string{"v1", "v2"}, true},
+			{11*life + 1, []string{"v2"}, true, []string{"v2"}, true},
+		}},
+		{"no upstream for a while", []step{
+			{0, []string{"v1"}, true, []string{"v1"}, false}, {time.Second, nil, true, []string{"v1"}, false},
+			{2 * time.Second, []string{"v2"}, true, []string{"v1", "v2"}, false},
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Now()
+			tb := vers.Table{Life: life}
+			for _, s := range tt.steps {
+				now := start.Add(s.at)
+				if s.changes {
+					tb.SetListed(now, listed(s.list...))
+				}
+				if got := tb.Versions(now, "llm"); !slices.Equal(got, s.want) {
+					t.Errorf("at %v: versions %q, want %q", s.at, got, s.want)
+				}
+				if mixed := tb.Mixed(now); (mixed["llm"] != nil) != (len(s.want) > 1) {
+					t.Errorf("at %v: mixed %q", s.at, mixed)
+				}
+				if got := tb.Complete(now); got != s.complete {
+					t.Errorf("at %v: complete %v", s.at, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a record that is lost while its stream may be taken up, that changes, or that is kept for ever.
+func TestRecords(t *testing.T) {
+	start := time.Now()
+	tb := vers.Table{Life: life}
+	tb.Begin(start, vers.Record{Stream: vers.Stream("a"), Software: "v1"})
+	tb.Learn(start, vers.Record{Stream: vers.Stream("a"), Software: "v2"}, vers.Record{Stream: vers.Stream("b"), Software: "v2"})
+	tb.Load(start, vers.Record{Stream: vers.Stream("c"), Software: "v1"})
+	check := func(id, want string) {
+		t.Helper()
+		if got, ok := tb.Lookup(id); got != want || ok != (want != "") {
+			t.Errorf("stream of %s: version %q, %v, want %q", id, got, ok, want)
+		}
+	}
+	check("a", "v1")
+	check("b", "v2")
+	check("c", "v1")
+	check("d", "")
+	if own := tb.Own(); len(own) != 1 || own[0].Stream != vers.Stream("a") {
+		t.Errorf("own records %v", own)
+	}
+	if n := len(tb.Unsaved()); n != 2 {
+		t.Errorf("%d records to save, want those begun here and learned", n)
+	}
+	tb.SetSaved(tb.Unsaved(), true)
+	if n := len(tb.Unsaved()); n != 0 {
+		t.Errorf("%d records to save after they were saved", n)
+	}
+	tb.Forget()
+	if n := len(tb.Unsaved()); n != 3 {
+		t.Errorf("%d records to save after the store was restored, want all", n)
+	}
+	late := start.Add(life)
+	tb.Begin(late, vers.Record{Stream: vers.Stream("e"), Software: "v1"})
+	check("a", "v1")
+	tb.Begin(late.Add(life), vers.Record{Stream: vers.Stream("f"), Software: "v1"})
+	check("a", "")
+	check("e", "v1")
+	check("f", "v1")
+}
