Keep in the store which software version began each stream

Take-ups were rejected, or before joined from two versions, when the hosts that knew the version were lost: all of them, or a leader and the host of the stream. While a service has several versions, or had within the time for which a stream can last, the leader now saves new records four times a second in one transaction, and names the versions; nothing waits for it. A host whose leader does not know a stream reads the records, with one read for all calls that wait. An id that nobody knows goes on only if the store, read at that moment, names no service with several versions and the host's list has one; a host that cannot read the store needs a current list that has named one version for long enough. After a restore all records are written again; old ones are removed.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// Prefix is the prefix of every key that hosts write.
+	// Prefix is the prefix of the keys that all hosts follow.
 	Prefix = "figreel/"
 	// HostPrefix is the prefix of the keys of host registrations.
 	HostPrefix      = Prefix + "hosts/"
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -65,6 +65,7 @@
 	relay         *watchRelay
 	tickets       *ticketService
 	reconciler    *reconciler
+	streams       *streamStore
 	entry         *entry.Server
 	closeCallers  func()       // closes the server for callers and waits until that is done
 	stoppingSince atomic.Int64 // boot time of the stop signal, 0 before
@@ -110,6 +111,11 @@
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
+	h.streams = &streamStore{
+		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
+		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
+	}
+	h.tickets.streams = h.streams
 	h.cache.onChange = h.updateScheduler
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
@@ -151,6 +157,7 @@
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	background := []func(context.Context){
 		h.elector.Run, h.tickets.run, h.tickets.connectLeader, h.reconciler.run, h.sweepIdle, h.relay.run,
+		h.streams.run,
 	}
 	for _, f := range background {
 		go f(ctx)
--- /dev/null
+++ b/internal/host/streams.go
@@ -0,0 +1,314 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/figreel/figreel/internal/clock"
+	"github.com/figreel/figreel/internal/elect"
+	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/stats"
+	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/vers"
+)
+
+const (
+	// streamPrefix is the prefix of the keys that say which software versions began streams. Hosts read them when they
+	// need them and do not follow them, because they change several times a second. The key of a service below
+	// mixedPrefix names its versions while there are several; the keys below recordsPrefix hold records.
+	streamPrefix  = "figreel-streams/"
+	mixedPrefix   = streamPrefix + "mixed/"
+	recordsPrefix = streamPrefix + "records/"
+	// saveInterval is the interval at which the leader saves new records.
+	saveInterval = 250 * time.Millisecond
+	// saveTimeout and lookupTimeout are the timeouts of one call to the store.
+	saveTimeout   = 900 * time.Millisecond
+	lookupTimeout = 300 * time.Millisecond
+	// lookupInterval is the minimum time between two reads of the records.
+	lookupInterval = 100 * time.Millisecond
+	// maxRecords bounds the records under one key, and maxOldKeys the keys that one transaction removes.
+	maxRecords = 20_000
+	maxOldKeys = 20
+)
+
+type (
+	// streamStore keeps in the store which software versions began streams, so that streams can be taken up after the
+	// loss of all hosts that know it. The leader writes, and only while a service has several versions.
+	streamStore struct {
+		store   store.Store
+		elector *elect.Elector
+		tickets *ticketService
+		stats   *stats.Set
+		log     zerolog.Logger
+		// isCurrent reports whether the list of upstreams is up to date.
+		isCurrent func() bool
+		// knownEra returns the newest era of the store that this host knows.
+		knownEra func() int64
+
+		// The fields up to the next mutex are those of the goroutine of run.
+		loaded  bool // the leader has read what the leaders before it have written
+		era     int64
+		saved   map[string][]string // versions of the services as the store has them
+		keys    []savedKey          // keys of records, oldest first
+		keySeq  int
+		failing bool // the last call for saving failed
+
+		mu     sync.Mutex
+		next   *streamRead // the read that has not begun
+		readAt time.Time   // when the last read began
+	}
+
+	// streamRead is a read of all keys; several calls may wait for it.
+	streamRead struct {
+		done  chan struct{}
+		err   error
+		mixed map[string][]string // versions by service
+		era   int64
+		keys  []string // of records
+	}
+
+	// savedKey is a key of records and when its records were saved, or found in the store.
+	savedKey struct {
+		key string
+		at  time.Time
+	}
+)
+
+// run saves new records while this host is the leader, until ctx ends.
+func (s *streamStore) run(ctx context.Context) {
+	for clock.Sleep(ctx, saveInterval) {
+		if !s.elector.IsLeader() {
+			s.loaded = false
+			continue
+		}
+		err := s.save(ctx)
+		if errors.Is(err, store.ErrRestored) {
+			s.loaded = false
+		}
+		if failing := err != nil; failing != s.failing && ctx.Err() == nil {
+			s.failing = failing
+			message := "records of streams can be saved again"
+			if failing {
+				message = "records of streams cannot be saved"
+			}
+			s.log.Info().Err(err).Msg(message)
+		}
+	}
+}
+
+// save brings the records in the store up to date with one transaction at most.
+func (s *streamStore) save(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	if !s.loaded || s.knownEra() > s.era {
+		if err := s.load(ctx); err != nil {
+			return err
+		}
+	}
+	now := time.Now()
+	s.tickets.mu.Lock()
+	streams := &s.tickets.scheduler.Streams
+	mixed := streams.Mixed(now)
+	var records []vers.Record
+	if len(mixed) > 0 {
+		records = streams.Unsaved()
+	}
+	retention := streams.Retention()
+	s.tickets.mu.Unlock()
+	records = records[:min(len(records), maxRecords)]
+	txn, err := s.transaction(now, mixed, records, retention)
+	if err != nil || len(txn.Puts)+len(txn.Remove) == 0 {
+		return err
+	}
+	if _, err := s.store.Commit(ctx, txn); err != nil {
+		return err
+	}
+	s.stats.CountEvent("stream_saves")
+	s.saved = mixed
+	s.keys = slices.DeleteFunc(s.keys, func(k savedKey) bool { return slices.Contains(txn.Remove, k.key) })
+	if len(records) > 0 {
+		s.keys = append(s.keys, savedKey{s.key(), now})
+		s.keySeq++
+	}
+	s.tickets.mu.Lock()
+	s.tickets.scheduler.Streams.SetSaved(records, true)
+	s.tickets.mu.Unlock()
+	return nil
+}
+
+// key returns the key of the next records of this leader.
+func (s *streamStore) key() string {
+	t, _ := s.elector.Term()
+	return recordsPrefix + t.Nonce + "/" + strconv.Itoa(s.keySeq)
+}
+
+// transaction returns what has to be written: the versions of services, new records, and the removal of old ones.
+func (s *streamStore) transaction(
+	now time.Time, mixed map[string][]string, records []vers.Record, retention time.Duration,
+) (store.Txn, error) {
+	txn := store.Txn{Era: s.era}
+	for service, versions := range mixed {
+		if slices.Equal(s.saved[service], versions) {
+			continue
+		}
+		value, err := json.Marshal(versions)
+		if err != nil {
+			return txn, errors.Wrap(err, "encode versions")
+		}
+		txn.Puts = append(txn.Puts, store.Item{Key: mixedPrefix + service, Value: value})
+		s.log.Info().Str("service", service).Strs("versions", versions).Msg("service has several software versions")
+	}
+	for service := range s.saved {
+		if mixed[service] == nil {
+			txn.Remove = append(txn.Remove, mixedPrefix+service)
+			s.log.Info().Str("service", service).Msg("service has one software version")
+		}
+	}
+	if len(records) > 0 {
+		value, err := cbor.Marshal(records)
+		if err != nil {
+			return txn, errors.Wrap(err, "encode records of streams")
+		}
+		txn.Puts = append(txn.Puts, store.Item{Key: s.key(), Value: value})
+	}
+	for _, k := range s.keys[:min(len(s.keys), maxOldKeys)] {
+		if now.Sub(k.at) > retention {
+			txn.Remove = append(txn.Remove, k.key)
+		}
+	}
+	return txn, nil
+}
+
+// load reads what earlier leaders have written. Their versions count as in service until now, because this leader does
+// not know when they ended.
+func (s *streamStore) load(ctx context.Context) error {
+	r, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	s.tickets.mu.Lock()
+	streams := &s.tickets.scheduler.Streams
+	for service, versions := range r.mixed {
+		for _, v := range versions {
+			streams.SetInService(now, service, v)
+		}
+	}
+	if r.era != s.era {
+		streams.Forget()
+	}
+	s.tickets.mu.Unlock()
+	s.keys = nil
+	for _, k := range r.keys {
+		s.keys = append(s.keys, savedKey{k, now})
+	}
+	s.saved, s.era, s.loaded = r.mixed, r.era, true
+	return nil
+}
+
+// read reads the records that are in the store when it is called or later, and adds them to those of the scheduler.
+// Calls at the same time share a read.
+func (s *streamStore) read(ctx context.Context) (*streamRead, error) {
+	s.mu.Lock()
+	r := s.next
+	if r == nil {
+		r = &streamRead{done: make(chan struct{})}
+		s.next = r
+		time.AfterFunc(time.Until(s.readAt.Add(lookupInterval)), func() { s.list(r) })
+	}
+	s.mu.Unlock()
+	select {
+	case <-r.done:
+		return r, r.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "read records of streams")
+	}
+}
+
+func (s *streamStore) list(r *streamRead) {
+	defer close(r.done)
+	s.mu.Lock()
+	s.next, s.readAt = nil, time.Now()
+	s.mu.Unlock()
+	s.stats.CountEvent("stream_lookups")
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	defer cancel()
+	items, as, err := s.store.List(ctx, streamPrefix)
+	if err != nil {
+		r.err = err
+		return
+	}
+	r.era, r.mixed = as.Era, make(map[string][]string)
+	var records []vers.Record
+	for _, it := range items {
+		if service, ok := strings.CutPrefix(it.Key, mixedPrefix); ok {
+			var versions []string
+			if err := json.Unmarshal(it.Value, &versions); err != nil {
+				s.log.Warn().Err(err).Str("key", it.Key).Msg("invalid versions of a service")
+			}
+			r.mixed[service] = versions
+			continue
+		}
+		r.keys = append(r.keys, it.Key)
+		var list []vers.Record
+		if err := cbor.Unmarshal(it.Value, &list); err != nil {
+			s.log.Warn().Err(err).Str("key", it.Key).Msg("invalid records of streams")
+			continue
+		}
+		records = append(records, list...)
+	}
+	s.tickets.mu.Lock()
+	defer s.tickets.mu.Unlock()
+	s.tickets.scheduler.Streams.Load(time.Now(), records...)
+}
+
+// softwareOf returns the software version that began the stream of an attempt, or an empty string if this host does not
+// know it.
+func (s *ticketService) softwareOf(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	software, _ := s.scheduler.Streams.Lookup(id)
+	return software
+}
+
+// findSoftware returns the software version that began the stream of a call, which neither this host nor the leader
+// remembers. If the store knows of only one version in service, it is that one; without the store, it is only if this
+// host has known of no other for as long as a stream can last.
+func (s *ticketService) findSoftware(ctx context.Context, req *sched.Request) (string, bool) {
+	if s.streams == nil {
+		return "", false
+	}
+	r, err := s.streams.read(ctx)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	streams := &s.scheduler.Streams
+	if software, ok := streams.Lookup(req.Resumes); ok {
+		return software, true
+	}
+	versions := streams.Versions(now, req.Service)
+	switch {
+	case len(versions) != 1:
+		return "", false
+	case err != nil:
+		s.log.Info().Err(err).Str("call", req.Call).Msg("records of streams cannot be read")
+		return versions[0], streams.Complete(now) && s.streams.isCurrent()
+	}
+	return versions[0], len(r.mixed[req.Service]) == 0
+}
+
+// hasOtherSoftware reports whether the engine of a grant has started again with another software version since.
+func (s *ticketService) hasOtherSoftware(g sched.Grant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.SoftwareOf(g) != g.Software
+}
--- /dev/null
+++ b/internal/host/streams_test.go
@@ -0,0 +1,244 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/store/stub"
+	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
+)
+
+// streamTimeout is the timeout of the route, half of the time for which records are kept.
+const streamTimeout = 8 * time.Second
+
+// streamTickets returns a ticket service that has just started, whose scheduler knows one engine of each version.
+func streamTickets(s store.Store, versions ...string) *ticketService {
+	tk := testTickets()
+	tk.departed = func(string) bool { return false }
+	tk.streams = &streamStore{
+		store: s, elector: tk.elector, tickets: tk, stats: tk.stats, log: tk.log, isCurrent: func() bool { return true },
+		knownEra: func() int64 { return 0 },
+	}
+	tk.scheduler.SetConfig(&topo.Config{
+		Routes: []topo.Route{{Kind: topo.Stream, Resumable: true, Timeout: streamTimeout}},
+		Services: map[string]topo.Service{"llm": {
+			Name: "llm", Engine: &topo.EngineSpec{Slots: 8, KVTokens: 1000, Models: []topo.Model{{Name: "m"}}},
+		}},
+	})
+	list(tk, versions...)
+	return tk
+}
+
+// list replaces the engines that a scheduler knows.
+func list(tk *ticketService, versions ...string) {
+	var ups []*topo.Upstream
+	for _, v := range versions {
+		ups = append(ups, &topo.Upstream{
+			ID: "engine " + v, Service: "llm", Slots: 8, Software: v, Models: []topo.Resident{{Name: "m"}},
+		})
+	}
+	tk.withScheduler(func(now time.Time, k *sched.Scheduler) { k.SetUpstreams(now, ups) })
+}
+
+// takeUp requests a ticket for a take-up of the stream that an attempt began, and returns the version of the engine that
+// is granted, or the reason of the rejection.
+func takeUp(t *testing.T, tk *ticketService, resumes string) string {
+	t.Helper()
+	decision, err := tk.RequestTicket(t.Context(), sched.Request{
+		Call: "take-up of " + resumes, Service: "llm", Remaining: 4 * time.Second, TargetLatency: time.Second,
+		Spec: topo.CallSpec{Model: "m", PromptTokens: 10}, TakesUp: true, Resumes: resumes, Resumable: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if decision.Kind == sched.Granted {
+		tk.Release(decision.Grant, sched.Served)
+		return decision.Grant.Software
+	}
+	return decision.Reason
+}
+
+// begin sends a stream through a host, which tells the leader of its first event.
+func begin(tk *ticketService, leader *ticketService, id, software string) {
+	tk.mu.Lock()
+	tk.openTickets[7] = &sched.OpenTicket{Request: sched.Request{Call: id, Service: "llm", Resumable: true}}
+	tk.mu.Unlock()
+	g := sched.Grant{Ticket: 7, Engine: "engine " + software, Software: software}
+	tk.FirstEvent(g, nil)
+	tk.Release(g, sched.Served)
+	if leader != tk {
+		m := &link.Message{Kind: link.FirstEvent, Streams: []vers.Record{{Stream: vers.Stream(id), Software: software}}}
+		leader.handle(&follower{}, m)
+	}
+}
+
+// withLeader runs f in a bubble with the ticket service of a leader that saves the records of streams.
+func withLeader(t *testing.T, f func(t *testing.T, s *stub.Store, leader *ticketService)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fl := newFleet(ctx, 1)
+		h := fl.hosts[0]
+		leader := streamTickets(h)
+		leader.elector = h.cache.elector
+		leader.streams.elector, leader.streams.knownEra = h.cache.elector, h.cache.era
+		go leader.streams.run(ctx)
+		time.Sleep(5 * time.Second)
+		if !h.cache.elector.IsLeader() {
+			t.Fatal("the host does not lead")
+		}
+		f(t, fl.store, leader)
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against streams that go on at another software version than the one that began them when their callers take
+// them up, and against take-ups that are rejected although the version is known or can only be one: at the host that
+// began them, at another one, and after the loss of the leader or of all hosts.
+func TestTakeUpOfStreams(t *testing.T) {
+	const unknown, gone = sched.ReasonVersionUnknown, sched.ReasonVersionGone
+	type world struct {
+		store        *stub.Store
+		leader, host *ticketService
+	}
+	wait := func(d time.Duration) { time.Sleep(d) }
+	nothing := func(world) {}
+	for _, tt := range []struct {
+		name   string
+		listed string // versions in service; the stream a begins at the first one, b at the last one
+		before func(w world)
+		fresh  string // versions that a host knows that has just started and has no leader; empty is the host of the streams
+		a, b   string // what take-ups get
+	}{
+		{"at the same host", "v1 v2", nothing, "", "v1", "v2"},
+		{"at another host, without a leader", "v1 v2", func(world) { wait(time.Second) }, "v1 v2", "v1", "v2"},
+		{"all hosts are lost at once", "v1 v2", nothing, "v1 v2", unknown, unknown},
+		{"all hosts are lost, one version has left", "v1 v2", func(world) { wait(time.Second) }, "v2", gone, "v2"},
+		{"all hosts are lost at once, one version has left", "v1 v2", func(w world) {
+			wait(time.Second)
+			begin(w.host, w.leader, "c", "v1")
+		}, "v2", gone, "v2"},
+		{"one version at all times", "v2", func(world) { wait(time.Second) }, "v2", "v2", "v2"},
+		{"the second version begins later", "v2", func(w world) {
+			list(w.leader, "v1", "v2")
+			wait(time.Second)
+		}, "v1 v2", "v2", "v2"},
+		{"the second version is listed, but no leader has seen it", "v2", func(world) { wait(time.Second) }, "v1 v2", unknown, unknown},
+		{"the versions have been one for as long as streams last", "v1 v2", func(w world) {
+			list(w.leader, "v2")
+			wait(4 * streamTimeout)
+		}, "v2", "v2", "v2"},
+		{"the store is away", "v1 v2", func(w world) {
+			wait(time.Second)
+			w.store.Do(func() { w.store.Fault = func(string) error { return store.ErrNotExecuted } })
+		}, "v2", unknown, unknown},
+		{"the store was away, and is back", "v1 v2", func(w world) {
+			w.store.Do(func() { w.store.Fault = func(string) error { return store.ErrNotExecuted } })
+			wait(time.Second)
+			w.store.Do(func() { w.store.Fault = nil })
+			wait(2 * time.Second)
+		}, "v1 v2", "v1", "v2"},
+		{"the store is restored from a copy without the records", "v1 v2", func(w world) {
+			older := w.store.Copy()
+			wait(time.Second)
+			w.store.Restore(older)
+			wait(10 * time.Second)
+		}, "v1 v2", "v1", "v2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+				versions := strings.Fields(tt.listed)
+				w := world{s, leader, streamTickets(s, versions...)}
+				list(leader, versions...)
+				time.Sleep(saveInterval / 2)
+				begin(w.host, leader, "a", versions[0])
+				begin(w.host, leader, "b", versions[len(versions)-1])
+				tt.before(w)
+				at := w.host
+				if tt.fresh != "" {
+					at = streamTickets(s, strings.Fields(tt.fresh)...)
+				}
+				for id, want := range map[string]string{"a": tt.a, "b": tt.b} {
+					if got := takeUp(t, at, id); got != want {
+						t.Errorf("take-up of %s: %q, want %q", id, got, want)
+					}
+				}
+				w.store.Do(func() { w.store.Fault = nil })
+			})
+		})
+	}
+}
+
+// Guards against a store that gets records while all streams can only go on at one version, against more than one write in
+// each interval, and against records that stay in the store when they are of no use any more.
+func TestStreamRecordsInStore(t *testing.T) {
+	withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+		list(leader, "v1")
+		serve := func(d time.Duration) (commits, keys int) {
+			before := s.Calls("commit")
+			for range d / (50 * time.Millisecond) {
+				begin(leader, leader, strconv.Itoa(rand.Int()), "v1")
+				time.Sleep(50 * time.Millisecond)
+			}
+			items, _, err := s.List(t.Context(), streamPrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return s.Calls("commit") - before, len(items)
+		}
+		if commits, keys := serve(10 * time.Second); commits != 0 || keys != 0 {
+			t.Errorf("one version: %d transactions, %d keys", commits, keys)
+		}
+		list(leader, "v1", "v2")
+		commits, keys := serve(10 * time.Second)
+		if most := int(10 * time.Second / saveInterval); commits == 0 || commits > most || keys == 0 {
+			t.Errorf("two versions: %d transactions, want 1 to %d, and %d keys", commits, most, keys)
+		}
+		list(leader, "v1")
+		serve(2 * streamTimeout)
+		if commits, keys := serve(4 * streamTimeout); keys != 0 {
+			t.Errorf("one version again: %d transactions, %d keys left", commits, keys)
+		}
+		if commits, _ := serve(10 * time.Second); commits != 0 {
+			t.Errorf("one version for a while: %d transactions", commits)
+		}
+	})
+}
+
+// Guards against a new leader that does not know the streams that began at the hosts that follow it.
+func TestFollowerTellsItsStreams(t *testing.T) {
+	leader, host := streamTickets(&stub.Store{}, "v1", "v2"), streamTickets(&stub.Store{}, "v1", "v2")
+	begin(host, host, "a", "v1")
+	ours, theirs := net.Pipe()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c := link.NewConn(theirs)
+		if m, err := c.Receive(); err == nil {
+			leader.serveFollower(c, m)
+		}
+	}()
+	c := link.NewConn(ours)
+	host.mu.Lock()
+	hello := host.hello()
+	host.mu.Unlock()
+	if err := c.Send(hello); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	<-done
+	if got := takeUp(t, leader, "a"); got != "v1" {
+		t.Errorf("take-up: %q, want v1", got)
+	}
+}
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -46,6 +46,8 @@
 	loadAdapters func([]sched.AdapterLoad)
 	// notices holds what upstreams state about the calls that they take. It also serves the scheduler.
 	notices *notice.Table
+	// streams finds what the store has of streams that the schedulers do not know; nil finds nothing.
+	streams *streamStore
 	// senders returns the number of hosts that share the limits of upstreams; nil means one.
 	senders func() int
 
@@ -80,7 +82,8 @@
 	}
 }
 
-// RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx.
+// RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the scheduler
+// does not know the software version that began the stream of the call, it is looked up in the store.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
 	if req.TakesUp && req.Software == "" {
@@ -90,7 +93,7 @@
 	if err != nil || decision.Reason != sched.ReasonVersionUnknown {
 		return decision, err
 	}
-	software, ok := s.findSoftware(&req)
+	software, ok := s.findSoftware(ctx, &req)
 	s.log.Info().Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).Bool("found", ok).
 		Dur("took_ms", time.Since(start)).Msg("software version of a stream looked up")
 	if !ok {
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -50,6 +50,17 @@
 	return names
 }
 
+// era returns the newest era of the store that this host knows.
+func (sc *storeCache) era() int64 {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	var era int64
+	for _, p := range sc.states {
+		era = max(era, p.version.Era)
+	}
+	return era
+}
+
 // hostChanges returns the number of changes of the registered hosts so far.
 func (sc *storeCache) hostChanges() int {
 	sc.mu.Lock()
