Reject take-ups at plain services of several software versions

Hosts remember which version began a stream only for engines, because only these report the first event. A take-up of a stream of a plain service went to any upstream. While the service has upstreams of several versions it is now rejected at once (version_unknown). TestTakeUpAtPlainService failed before in one of four rows (200, want 503).

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -121,6 +121,13 @@
 	return score
 }
 
+// isMixed reports whether the upstreams of a service have several software versions. Hosts do not remember which of them
+// began a stream of a plain service.
+func (b *Balancer) isMixed(service string) bool {
+	list := b.Upstreams(service)
+	return slices.ContainsFunc(list, func(u *topo.Upstream) bool { return u.Software != list[0].Software })
+}
+
 // admits reports whether a call may be sent to an upstream that Pick has returned. While the call waited, the upstream
 // may have left or asked for no further calls.
 func (b *Balancer) admits(now time.Time, u *topo.Upstream) bool {
@@ -204,6 +211,10 @@
 // servePlain sends the call to one upstream of a plain service after another until one responds or no further attempt
 // is allowed.
 func (c *call) servePlain() {
+	if c.noteTakeUp(); c.takesUp && c.s.Balancer.isMixed(c.service) {
+		c.finishWithoutResponse(sched.ReasonVersionUnknown)
+		return
+	}
 	for {
 		u, retryAfter := c.pickUpstream()
 		if u == nil {
--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/figreel/figreel/internal/topo"
@@ -75,3 +76,32 @@
 		})
 	}
 }
+
+// Guards against a stream of a plain service that is taken up at another software version than the one that began it.
+func TestTakeUpAtPlainService(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		software []string // of the upstreams
+		kind     topo.CallKind
+		header   []string
+		want     int
+	}{
+		{"new stream, two versions", []string{"v1", "v2"}, topo.Stream, nil, http.StatusOK},
+		{"take-up, one version", []string{"v1", "v1"}, topo.Stream, []string{"Last-Event-Id", "3"}, http.StatusOK},
+		{"take-up, two versions", []string{"v1", "v2"}, topo.Stream, []string{"Last-Event-Id", "3"}, http.StatusServiceUnavailable},
+		{"no stream, two versions", []string{"v1", "v2"}, topo.Idempotent, []string{"Last-Event-Id", "3"}, http.StatusOK},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var ups []*upstream
+			for _, v := range tt.software {
+				u := newUpstream(t, okResponse)
+				u.software = v
+				ups = append(ups, u)
+			}
+			srv, _ := newServer(t, config(tt.kind, true, 2), ups, nil, 5)
+			if status, _, _, err := send(t, srv.URL, "/p/x", "body", tt.header...); err != nil || status != tt.want {
+				t.Errorf("status %d, %v, want %d", status, err, tt.want)
+			}
+		})
+	}
+}
