Match no copy of a response to a write without an ID

Writes to the store, renewals of leases and orders have no ID that the response could repeat, and shared kept connections. A copy of an earlier response answered them: a rejected campaign counted as won and a lost lease as renewed, so two hosts could lead; an order that the engine had accepted counted as rejected, or the reverse, which its count of orders corrects after the order is lost.

A request without an ID that is not a GET now goes out only on a connection that has carried no other without one. Reads stay on kept connections: a response of another kind is recognized and drops the call, an older one of the same kind has an older revision.

Price: an order often needs a new connection to its engine.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -82,7 +82,8 @@
 		Body   []byte
 		// ID is expected in IDHeader of the response; if it is empty, the response must have none. A connection carries
 		// each ID once: a faulty upstream may send a response once more, and the copy must not answer a request that is
-		// sent again.
+		// sent again. A request without an ID that is not a GET goes out only on a connection that has carried no other
+		// without one; the caller of a GET without an ID has to recognize the response to another.
 		ID string
 	}
 
@@ -95,6 +96,7 @@
 		maxIdle   time.Duration
 		requests  int      // carried so far
 		carried   []uint64 // hashes of their IDs
+		unmatched bool     // one of them had no ID
 		reused    bool
 	}
 )
@@ -166,7 +168,7 @@
 
 func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c := p.pop(r.Addr, r.ID)
+		c := p.pop(r)
 		if c == nil {
 			return p.dial(ctx, r.Addr)
 		}
@@ -178,16 +180,16 @@
 	}
 }
 
-// pop removes and returns the idle connection to the address that was used last and has not carried the ID, or nil.
-func (p *Pool) pop(addr, id string) *conn {
+// pop removes and returns the idle connection that was used last of those that can carry the request, or nil.
+func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
+	list := p.idle[r.Addr]
 	for i, c := range slices.Backward(list) {
-		if c.hasCarried(id) {
+		if !c.canCarry(r) {
 			continue
 		}
-		p.idle[addr] = slices.Delete(list, i, i+1)
+		p.idle[r.Addr] = slices.Delete(list, i, i+1)
 		return c
 	}
 	return nil
@@ -255,14 +257,19 @@
 // addRequest records that the connection carries a request.
 func (c *conn) addRequest(id string) {
 	c.requests++
-	if id != "" {
-		c.carried = append(c.carried, xxhash.Sum64String(id))
+	if id == "" {
+		c.unmatched = true
+		return
 	}
+	c.carried = append(c.carried, xxhash.Sum64String(id))
 }
 
-// hasCarried reports whether the connection has carried a request with the ID.
-func (c *conn) hasCarried(id string) bool {
-	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+// canCarry reports whether no copy of a response to an earlier request can be taken for the response to this one.
+func (c *conn) canCarry(r *Request) bool {
+	if r.ID == "" {
+		return r.Method == http.MethodGet || !c.unmatched
+	}
+	return !slices.Contains(c.carried, xxhash.Sum64String(r.ID))
 }
 
 // isReusable reports whether the connection is open and the peer has sent nothing since its last response.
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -229,7 +229,11 @@
 		want int // connections
 	}{
 		{"other IDs", []string{"a", "b", "c"}, 1},
-		{"without IDs", []string{"", "", ""}, 1},
+		{"reads without IDs", []string{"", "", ""}, 1},
+		{"writes without IDs", []string{"write", "write", "write"}, 3},
+		{"a write after a read", []string{"", "write"}, 2},
+		{"a read after a write", []string{"write", ""}, 1},
+		{"a write after others with IDs", []string{"a", "b", "write", "c"}, 1},
 		{"again at once", []string{"a", "a"}, 2},
 		{"again later", []string{"a", "b", "c", "a"}, 2},
 		{"again three times", []string{"a", "a", "a"}, 3},
@@ -240,16 +244,18 @@
 		t.Run(tt.name, func(t *testing.T) {
 			scripts := make([]string, len(tt.ids))
 			for i, id := range tt.ids {
-				if scripts[i] = response(id, "ok"); id == "" {
+				if scripts[i] = response(id, "ok"); id == "" || id == "write" {
 					scripts[i] = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"
 				}
 			}
 			addr, conns := serveAll(t, scripts)
 			p := &h1.Pool{IDHeader: "X-Id"}
 			for i, id := range tt.ids {
-				res, err := p.Do(context.Background(), &h1.Request{
-					Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: id,
-				})
+				r := &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: id}
+				if id == "write" {
+					r.Method, r.ID = http.MethodPost, ""
+				}
+				res, err := p.Do(context.Background(), r)
 				if err != nil {
 					t.Fatalf("request %d: %v", i, err)
 				}
