Pass on no 421 of a service for a non-idempotent call

Callers take 421 for a statement that the call was not executed, like 408, 429 and 503; a service behind figreel serve does not make it by its status. The new row of TestStatusOfService failed before (421, want 502).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -270,7 +270,11 @@
 // saysNotExecuted reports whether clients take a status for a statement that the request was not executed, which a
 // service does not make by it.
 func saysNotExecuted(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == statusUnavailable
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, statusUnavailable:
+		return true
+	}
+	return false
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/proxy/status_test.go
+++ b/internal/proxy/status_test.go
@@ -22,6 +22,7 @@
 		want       int
 	}{
 		{http.StatusRequestTimeout, false, badGateway},
+		{http.StatusMisdirectedRequest, false, badGateway},
 		{http.StatusTooManyRequests, false, badGateway},
 		{http.StatusServiceUnavailable, false, badGateway},
 		{http.StatusRequestTimeout, true, http.StatusRequestTimeout},
