Send a HEAD on a connection of its own

Where the body of a skipped copy ends follows from the method of its request, which the reader does not know. While a HEAD was under way, the body of a copy of an earlier answer was read as its response; a copy of the answer to a HEAD took bytes of the next answer for its body.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -264,8 +264,12 @@
 	c.carried = append(c.carried, xxhash.Sum64String(id))
 }
 
-// canCarry reports whether no copy of a response to an earlier request can be taken for the response to this one.
+// canCarry reports whether no copy of a response to an earlier request can be taken for the response to this one. A HEAD
+// needs a connection of its own: where the body of a copy ends follows from the method of its request.
 func (c *conn) canCarry(r *Request) bool {
+	if r.Method == http.MethodHead {
+		return false
+	}
 	if r.ID == "" {
 		return r.Method == http.MethodGet || !c.unmatched
 	}
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -321,3 +321,73 @@
 		}
 	}
 }
+
+// Guards against the body of a copy that is read as the response to a HEAD, and against a response to a HEAD that takes
+// bytes of the next response for its body.
+func TestHeadHasItsOwnConnection(t *testing.T) {
+	inner := "HTTP/1.1 503 No\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n"
+	get := "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: " + strconv.Itoa(len(inner)) + "\n\n" + strings.ReplaceAll(inner, "\r\n", "\n")
+	head := "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 20\n\n"
+	for _, tt := range []struct {
+		name    string
+		methods []string
+		copied  string // the answer to the first request
+	}{
+		{"HEAD after GET", []string{http.MethodGet, http.MethodHead}, get},
+		{"GET after HEAD", []string{http.MethodHead, http.MethodGet}, head},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := copier(t, tt.copied, response("2", "r2"))
+			p := &h1.Pool{IDHeader: "X-Id"}
+			for i, method := range tt.methods {
+				res, err := p.Do(context.Background(), &h1.Request{
+					Addr: addr, Method: method, Target: "/", Host: "h", ID: strconv.Itoa(i + 1),
+				})
+				if err != nil {
+					t.Fatalf("%s: %v", method, err)
+				}
+				if _, err := res.ReadAll(1000); err != nil || res.Status != http.StatusOK {
+					t.Errorf("%s: status %d, %v", method, res.Status, err)
+				}
+			}
+		})
+	}
+}
+
+// copier starts a server that answers with the answers in turn, on a connection that has carried a request after a copy
+// of the answer before. The answer to a HEAD has no body.
+func copier(t *testing.T, answers ...string) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var next atomic.Int32
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				due := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					answer := strings.ReplaceAll(answers[next.Add(1)-1], "\n", "\r\n")
+					if end := strings.Index(answer, "\r\n\r\n"); r.Method == http.MethodHead {
+						answer = answer[:end+4]
+					}
+					_, _ = io.WriteString(nc, due+answer)
+					due = answer
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -120,7 +120,7 @@
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
 		LocalAddr: c.LocalAddr().String(), Earlier: c.requests - 1,
-		keepAlive: !res.Close && !unframed,
+		keepAlive: !res.Close && !unframed && res.Request.Method != http.MethodHead,
 	}
 }
 
