Skip copies of responses in chunks

A late copy of a stream, whose body comes in chunks, ended the next call on its connection without a response, although its id tells that it belongs to another request. Its body is now skipped like one with a length, within the same limit; a body with neither still ends the connection. The new row of TestReuse failed before.

--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -80,6 +80,13 @@
 		{"second response at once", []string{response("1", "r1") + response("1", "xx"), response("2", "r2")}, []string{"r1", "r2"}, 2},
 		{"second response late", []string{response("1", "r1") + "LATE" + response("1", "xx"), response("2", "r2")}, []string{"r1", "r2"}, 2},
 		{"response to another request first", []string{response("1", "r1"), response("9", "xx") + response("2", "r2")}, []string{"r1", "r2"}, 1},
+		{"response in chunks to another request first", []string{
+			response("1", "r1"),
+			"HTTP/1.1 200 OK\nX-Id: 9\nTransfer-Encoding: chunked\n\n2\nxx\n0\n\n" + response("2", "r2"),
+		}, []string{"r1", "r2"}, 1},
+		{"response without a length to another request first", []string{
+			response("1", "r1"), "HTTP/1.1 200 OK\nX-Id: 9\n\nxx" + response("2", "r2"),
+		}, []string{"r1", ""}, 1},
 		{"response without an ID on a reused connection", []string{
 			response("1", "r1"), "HTTP/1.1 200 OK\nContent-Length: 2\n\nxx",
 		}, []string{"r1", ""}, 1},
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -103,16 +103,26 @@
 		if p.Skipped != nil {
 			p.Skipped(c.addr, id, res.StatusCode)
 		}
-		if res.ContentLength < 0 || res.ContentLength > maxSkippedBytes {
-			return nil, errors.Errorf("response to another request has a body of %d bytes", res.ContentLength)
-		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := skipBody(res); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errors.New("received only responses to other requests")
 }
 
+// skipBody reads the body of a response to another request.
+func skipBody(res *http.Response) error {
+	chunked := len(res.TransferEncoding) > 0
+	if res.ContentLength > maxSkippedBytes || res.ContentLength < 0 && !chunked {
+		return errors.Errorf("response to another request has a body of %d bytes", res.ContentLength)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = errors.Errorf("response to another request has a body of more than %d bytes", maxSkippedBytes)
+	}
+	return errors.Wrap(err, "skip response to another request")
+}
+
 // newResponse returns the response to the current request and sets the idle limit of its connection.
 func newResponse(c *conn, res *http.Response) *Response {
 	c.maxIdle = parseKeepAlive(res.Header.Get("Keep-Alive"))
