Start the settings of local clusters from the defaults of config.Load

`go run ./cmd/demo`, the first command of the README, failed after three minutes without a cause, because no host started. Each host's log said `host-1.yaml:37: limits.memory_mb: must be at least 1, is 0`. `cmd/fleet` and the tests with real hosts use the same settings.

`internal/local` built the settings of its hosts field by field, so limits.memory_mb, which got a default of 1024 and a check in, was written as 0.

The settings now start from config.Default, the value that config.Load itself decodes into, so that a field which `internal/local` does not set has the default. TestDocumentedSettings loads the example of docs/operators.md, which was right, and compares its table with the defaults.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -19,6 +19,11 @@
 	cfg *Config
 }
 
+// Default returns the settings that Load gives to absent fields; fields without a default are empty.
+func Default() Config {
+	return strict.Default[Config]()
+}
+
 // Load reads, decodes and checks a settings file; findings are returned together as a *find.List.
 func Load(file string) (*Config, error) {
 	body, err := os.ReadFile(file)
@@ -31,7 +36,7 @@
 // Parse is Load for settings that are already read; file names them in findings.
 func Parse(file string, body []byte) (*Config, error) {
 	list := &find.List{File: file}
-	var cfg Config
+	cfg := Default()
 	decoded := strict.Decode(list, body, &cfg)
 	if decoded == nil {
 		return nil, list.Err()
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -1,8 +1,10 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -59,3 +61,43 @@
 		}
 	}
 }
+
+// Guards against an example in the operators' page that is rejected, and defaults that differ from those of the page.
+func TestDocumentedSettings(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```yaml\n# host.yaml\n")
+	example, _, found := strings.Cut(rest, "```")
+	if !found {
+		t.Fatal("the page has no example of host.yaml")
+	}
+	dir := t.TempDir()
+	for _, name := range []string{"host-1.pem", "host-1.key", "ca.pem"} {
+		if err := os.WriteFile(filepath.Join(dir, name), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	example = strings.NewReplacer("certs/", dir+"/", "REPLACE_WITH_THE_DIGEST", strings.Repeat("a", 64)).Replace(example)
+	if _, err := config.Parse("host.yaml", []byte(example)); err != nil {
+		t.Error(err)
+	}
+	cfg := config.Default()
+	for _, tt := range []struct {
+		field string
+		value any
+	}{
+		{"limits.max_body_bytes", cfg.Limits.MaxBodyBytes},
+		{"limits.max_calls", cfg.Limits.MaxCalls},
+		{"limits.memory_mb", cfg.Limits.MemoryMB},
+		{"limits.kv_writes_per_s", cfg.Limits.KVWritesPerS},
+		{"stop_timeout_s", cfg.StopTimeoutS},
+		{"log_level", cfg.LogLevel},
+	} {
+		row := regexp.MustCompile(fmt.Sprintf("(?m)^\\| `%s` \\| %v[ ,]", regexp.QuoteMeta(tt.field), tt.value))
+		if !row.Match(page) {
+			t.Errorf("the page does not state %v as the default of %s", tt.value, tt.field)
+		}
+	}
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -58,12 +58,7 @@
 // Start builds the programs from the module at source, writes the settings and starts every process. After an error it
 // stops what it has started.
 func (c *Cluster) Start(ctx context.Context, source string) error {
-	c.procs = make(map[string]*proc)
-	c.ports = make(map[string]int)
-	c.args = make(map[string][]string)
-	if c.EngineMB == 0 {
-		c.EngineMB, c.ReserveMB = defaultEngineMB, defaultReserveMB
-	}
+	c.prepare()
 	steps := []func() error{
 		func() error { return os.MkdirAll(c.Dir, dirMode) },
 		func() error { return c.buildPrograms(ctx, source) },
@@ -143,6 +138,16 @@
 // EngineName returns the name of the engine with index i.
 func EngineName(i int) string { return fmt.Sprintf("engine-%d", i+1) }
 
+// prepare sets the fields that are empty before Start.
+func (c *Cluster) prepare() {
+	c.procs = make(map[string]*proc)
+	c.ports = make(map[string]int)
+	c.args = make(map[string][]string)
+	if c.EngineMB == 0 {
+		c.EngineMB, c.ReserveMB = defaultEngineMB, defaultReserveMB
+	}
+}
+
 // checksFencing reports whether engine i refuses orders with an outdated fencing token. Every second one does, so that
 // both kinds of engines are in use.
 func checksFencing(i int) bool { return i%2 == 0 }
--- a/internal/local/settings.go
+++ b/internal/local/settings.go
@@ -63,21 +63,20 @@
 
 func (c *Cluster) hostSettings(i int, seeds []string) config.Config {
 	name := HostName(i)
-	return config.Config{
-		Name: name, Environment: Environment, FailureDomain: FailureDomain(i),
-		Callers:   config.Callers{Listen: c.addr(name), PublicURL: c.URL(name)},
-		Operators: config.Operators{Listen: c.addr(name + "-op"), KeySHA256: []string{KeyDigest(OperatorKey)}},
-		Peers: config.Peers{
-			Listen: c.addr(name + "-fellow"), Advertise: c.addr(name + "-fellow"), Seeds: seeds,
-			TLS: config.TLS{
-				CertFile: filepath.Join(c.Dir, name+".pem"), KeyFile: filepath.Join(c.Dir, name+".key"),
-				CAFile: filepath.Join(c.Dir, "ca.pem"),
-			},
+	cfg := config.Default()
+	cfg.Name, cfg.Environment, cfg.FailureDomain = name, Environment, FailureDomain(i)
+	cfg.Callers = config.Callers{Listen: c.addr(name), PublicURL: c.URL(name)}
+	cfg.Operators = config.Operators{Listen: c.addr(name + "-op"), KeySHA256: []string{KeyDigest(OperatorKey)}}
+	cfg.Peers = config.Peers{
+		Listen: c.addr(name + "-fellow"), Advertise: c.addr(name + "-fellow"), Seeds: seeds,
+		TLS: config.TLS{
+			CertFile: filepath.Join(c.Dir, name+".pem"), KeyFile: filepath.Join(c.Dir, name+".key"),
+			CAFile: filepath.Join(c.Dir, "ca.pem"),
 		},
-		Platform: config.Platform{KVURL: c.URL("kv"), WeightsURL: c.URL("weights"), HostsURL: c.URL("list")},
-		Limits:   config.Limits{MaxBodyBytes: 1 << 20, MaxCalls: 1000, KVWritesPerS: 500},
-		LogLevel: "info",
 	}
+	cfg.Platform = config.Platform{KVURL: c.URL("kv"), WeightsURL: c.URL("weights"), HostsURL: c.URL("list")}
+	cfg.Limits.MaxBodyBytes, cfg.Limits.MaxCalls, cfg.Limits.KVWritesPerS = 1<<20, 1000, 500
+	return cfg
 }
 
 // SmallDocument returns a document with one pool of all engines, two models, an adapter and a plain service whose
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -41,6 +41,13 @@
 	return d
 }
 
+// Default returns a struct as Decode returns it for a file without fields.
+func Default[T any]() T {
+	var v T
+	setDefaults(reflect.ValueOf(&v).Elem())
+	return v
+}
+
 func (d *Decoded) parseYAML(body []byte) *yaml.Node {
 	dec := yaml.NewDecoder(bytes.NewReader(body))
 	var doc, second yaml.Node
--- a/internal/strict/decode_test.go
+++ b/internal/strict/decode_test.go
@@ -1,6 +1,7 @@
 package strict_test
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/figreel/figreel/internal/strict"
@@ -43,8 +44,14 @@
 	}
 }
 
-// Guards against defaults that are not set for list items, and defaults that overwrite values of the file.
+// Guards against defaults that are not set for list items, defaults that overwrite values of the file, and defaults
+// that differ from those of a file without fields.
 func TestDefaults(t *testing.T) {
+	var empty sample
+	strict.Decode(&find.List{}, []byte("{}"), &empty)
+	if s := strict.Default[sample](); s.Rate != 0.5 || !reflect.DeepEqual(s, empty) {
+		t.Errorf("defaults %+v, want %+v", s, empty)
+	}
 	var s sample
 	decoded := strict.Decode(&find.List{}, []byte("list:\n  - {}\n  - n: 3\n  -"), &s)
 	if s.Rate != 0.5 || s.List[0].N != 7 || s.List[1].N != 3 || s.List[2].N != 7 {
