Stop a host whose SIGTERM comes while it starts

A host that got SIGTERM about 3 to 5 ms after its start went on as if there had been no signal, and ended only when it was killed: of 48 processes of `figreel serve` that were sent SIGTERM 3 to 15 ms after their start, 7 still ran 15 s later.

go-zero's package proc registers for the signal when it is initialized, so that the signal does not end the process any more, and `figreel serve` and `figreel host` registered later. A signal between the two reached only go-zero.

--- a/cmd/figreel/host.go
+++ b/cmd/figreel/host.go
@@ -42,6 +42,7 @@
 
 // runPlatformHost runs a host until it is stopped by a signal, with the settings in file.
 func runPlatformHost(ctx context.Context, file string) error {
+	stop := stopSignals()
 	if file == "" {
 		return errors.Errorf("%s does not name a settings file", platform.SettingsVariable)
 	}
@@ -57,8 +58,6 @@
 	defer func() { _ = out.Close() }()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(out).With().Timestamp().Str("host", settings.Name).Logger()
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE)
 	pool := platform.NewPool()
 	pool.Dialed = func(string) { metrics.CountEvent("connections_opened") }
--- a/cmd/figreel/main.go
+++ b/cmd/figreel/main.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -56,6 +54,7 @@
 
 // runServeHost runs a host until it is stopped by a signal, with the settings in file.
 func runServeHost(ctx context.Context, file string) error {
+	stop := stopSignals()
 	cfg, err := config.Load(file)
 	if err != nil {
 		return err
@@ -65,8 +64,6 @@
 		return errors.Wrap(err, "log level")
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", cfg.Name).Logger()
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	host := &serve.Host{Config: cfg, Log: log, Stop: stop}
 	return host.Run(ctx)
 }
