Say why the apply of a local cluster failed

When no host took the document, `go run ./cmd/demo` ended with `demo failed: apply: : signal: killed`.

Cluster.Apply repeats `figreel apply` until its context ends, which kills the command that runs then, and it returned the error of that one: it has no output, and the answers of the attempts before it were lost. If the context had ended before the first attempt, it returned no error at all.

It now returns the cause of its context with the error of the last attempt that was not interrupted. TestApplyError failed before in all of its cases.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/clock"
 )
 
 const (
@@ -25,21 +27,33 @@
 }
 
 // Apply runs "figreel apply" with the cluster's document and returns its output. It tries one host after the other
-// until one accepts the document; when ctx ends first, it returns the error of the last attempt.
+// until one accepts the document. When ctx ends first, it returns its cause and the last error of a host.
 func (c *Cluster) Apply(ctx context.Context) ([]byte, error) {
 	var lastErr error
-	for ctx.Err() == nil {
+	for {
 		for i := range c.Hosts {
 			host := c.URL(HostName(i) + "-op")
 			out, err := c.runFigreel(ctx, "apply", "--base", "0", "--host", host, c.DocumentFile())
 			if err == nil {
 				return out, nil
 			}
-			lastErr = errors.Wrapf(err, "apply: %s", out)
+			if ctx.Err() != nil {
+				return nil, applyError(ctx, lastErr)
+			}
+			lastErr = errors.Errorf("%s: %s", err, bytes.TrimSpace(out))
+		}
+		if !clock.Sleep(ctx, pollInterval) {
+			return nil, applyError(ctx, lastErr)
 		}
-		time.Sleep(pollInterval)
 	}
-	return nil, lastErr
+}
+
+// applyError returns the reason why ctx has ended, with the error of the last attempt that was not interrupted.
+func applyError(ctx context.Context, lastErr error) error {
+	if lastErr == nil {
+		return errors.Wrap(context.Cause(ctx), "figreel apply")
+	}
+	return errors.Wrapf(context.Cause(ctx), "figreel apply (last attempt: %s)", lastErr)
 }
 
 // runFigreel runs a command of the figreel program with the operator key and returns its output.
@@ -102,12 +116,12 @@
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, errors.Wrap(err, "read response")
 }
 
-// waitUntil polls done until it returns true; it returns the error of ctx when ctx ends first.
+// waitUntil polls done until it returns true; it returns the cause of ctx when ctx ends first.
 func (c *Cluster) waitUntil(ctx context.Context, done func() bool) error {
 	for !done() {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return context.Cause(ctx)
 		case <-time.After(pollInterval):
 		}
 	}
