Report a process of a local cluster as soon as it has ended

With settings that a host rejects, `go run ./cmd/demo`, `cmd/fleet` and the tests with real hosts waited for minutes for a host that had ended at its start, and did not say so: the only trace was in the log of the host.

Nothing watched the processes. Cluster.Watch now gives a context that is canceled when a process ends without having been stopped by the cluster; its cause has the name, the exit status and the last lines of the log. Apply and AwaitReady use it, and so do the demo, the measurement of idle hosts and the tests for all that follows.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -46,6 +46,8 @@
 		return err
 	}
 	defer c.Stop()
+	ctx, cancel := c.Watch(ctx)
+	defer cancel()
 	out, err := c.Apply(ctx)
 	if err != nil {
 		return err
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -90,6 +90,8 @@
 		return result{}, err
 	}
 	defer c.Stop()
+	ctx, stopWatch := c.Watch(ctx)
+	defer stopWatch()
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if _, err := c.Apply(startCtx); err != nil {
@@ -99,7 +101,7 @@
 		return result{}, err
 	}
 	if !clock.Sleep(ctx, warmup) {
-		return result{}, ctx.Err()
+		return result{}, context.Cause(ctx)
 	}
 	return sample(ctx, c, span)
 }
@@ -113,7 +115,7 @@
 	callsBefore := kvCalls(ctx, c)
 	start := time.Now()
 	if !clock.Sleep(ctx, span) {
-		return result{}, ctx.Err()
+		return result{}, context.Cause(ctx)
 	}
 	elapsed := time.Since(start)
 	after, err := hostUsages(c)
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -27,8 +27,10 @@
 }
 
 // Apply runs "figreel apply" with the cluster's document and returns its output. It tries one host after the other
-// until one accepts the document. When ctx ends first, it returns its cause and the last error of a host.
+// until one accepts the document. When ctx ends or a process fails first, it returns that and the last error of a host.
 func (c *Cluster) Apply(ctx context.Context) ([]byte, error) {
+	ctx, cancel := c.Watch(ctx)
+	defer cancel()
 	var lastErr error
 	for {
 		for i := range c.Hosts {
@@ -64,8 +66,10 @@
 }
 
 // AwaitReady waits until every host reports ready and each model completes a short request. It returns an error when
-// ctx ends first.
+// ctx ends or a process fails first.
 func (c *Cluster) AwaitReady(ctx context.Context, models ...string) error {
+	ctx, cancel := c.Watch(ctx)
+	defer cancel()
 	for i := range c.Hosts {
 		if err := c.waitUntil(ctx, func() bool {
 			resp, err := c.Get(ctx, HostName(i), "/readyz")
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -49,6 +49,10 @@
 
 		authority *certs.Authority
 
+		// running is canceled when a process fails; the cause says why.
+		running context.Context
+		fail    context.CancelCauseFunc
+
 		procs map[string]*proc
 		ports map[string]int
 		args  map[string][]string
@@ -58,24 +62,27 @@
 // Start builds the programs from the module at source, writes the settings and starts every process. After an error it
 // stops what it has started.
 func (c *Cluster) Start(ctx context.Context, source string) error {
-	c.prepare()
-	steps := []func() error{
-		func() error { return os.MkdirAll(c.Dir, dirMode) },
-		func() error { return c.buildPrograms(ctx, source) },
-		c.reservePorts,
-		c.writeCertificates,
-		c.writeSettings,
-		c.startAll,
+	if err := c.setUp(ctx, source); err != nil {
+		return err
 	}
-	for _, step := range steps {
-		if err := step(); err != nil {
-			c.Stop()
-			return err
-		}
+	if err := c.startAll(); err != nil {
+		c.Stop()
+		return err
 	}
 	return nil
 }
 
+// Watch returns a copy of ctx that is canceled when a process ends without having been stopped by the cluster. Its
+// cause then names the process, its exit status and the last lines of its log.
+func (c *Cluster) Watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	watched, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.running, func() { cancel(context.Cause(c.running)) })
+	return watched, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Stop ends every process of the cluster. The hosts end first, because their graceful shutdown needs the other
 // processes.
 func (c *Cluster) Stop() {
@@ -119,7 +126,7 @@
 	if c.isHost(name) {
 		bin = "figreel"
 	}
-	p, err := startProcess(c.Dir, name, filepath.Join(c.Dir, bin), c.args[name]...)
+	p, err := startProcess(c.fail, c.Dir, name, filepath.Join(c.Dir, bin), c.args[name]...)
 	if err != nil {
 		return err
 	}
@@ -138,8 +145,27 @@
 // EngineName returns the name of the engine with index i.
 func EngineName(i int) string { return fmt.Sprintf("engine-%d", i+1) }
 
+// setUp builds the programs and writes every file that the processes read.
+func (c *Cluster) setUp(ctx context.Context, source string) error {
+	c.prepare()
+	steps := []func() error{
+		func() error { return os.MkdirAll(c.Dir, dirMode) },
+		func() error { return c.buildPrograms(ctx, source) },
+		c.reservePorts,
+		c.writeCertificates,
+		c.writeSettings,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // prepare sets the fields that are empty before Start.
 func (c *Cluster) prepare() {
+	c.running, c.fail = context.WithCancelCause(context.Background())
 	c.procs = make(map[string]*proc)
 	c.ports = make(map[string]int)
 	c.args = make(map[string][]string)
--- a/internal/local/process_test.go
+++ b/internal/local/process_test.go
@@ -108,6 +108,8 @@
 		c.Stop()
 		logTails(t, c, exited)
 	})
+	ctx, stopWatch := c.Watch(ctx)
+	t.Cleanup(stopWatch)
 	_, err = c.Apply(ctx)
 	must(t, err)
 	must(t, c.AwaitReady(ctx, "slots", "contracts", "slots-north"))
@@ -126,6 +128,7 @@
 		began := time.Now()
 		s.inject(ctx, t, l)
 		l.checkAllModels(ctx, s.name)
+		must(t, context.Cause(ctx))
 		t.Logf("%s: %.1f s", s.name, time.Since(began).Seconds())
 	}
 	stopLoad()
