Start the documents of replays from the defaults of envdoc.Parse

The parts of the document now start from strict.Default, which gives the defaults that a decoded document has. TestDocDefaults failed before for once.retention_s.

--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -38,3 +39,31 @@
 		t.Fatalf("got error %v, want one that names line 2", err)
 	}
 }
+
+// TestDocDefaults guards against documents of replays that lack a default of envdoc.Parse.
+func TestDocDefaults(t *testing.T) {
+	workload, err := Load("../../bench/short.trace.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkDefaults(t, "document", reflect.ValueOf(*workload.Doc()))
+}
+
+// checkDefaults checks that no field with a default, here or in the structs and slices below, is zero.
+func checkDefaults(t *testing.T, path string, v reflect.Value) {
+	t.Helper()
+	switch v.Kind() {
+	case reflect.Slice:
+		for i := range v.Len() {
+			checkDefaults(t, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			field := v.Type().Field(i)
+			if _, ok := field.Tag.Lookup("default"); ok && v.Field(i).IsZero() {
+				t.Errorf("%s.%s is zero", path, field.Name)
+			}
+			checkDefaults(t, path+"."+field.Name, v.Field(i))
+		}
+	}
+}
--- a/internal/trace/workload.go
+++ b/internal/trace/workload.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/figreel/figreel/internal/strict"
 	"github.com/figreel/figreel/pkg/envdoc"
 )
 
@@ -122,37 +123,41 @@
 // Doc returns the document of the environment.
 func (w *Workload) Doc() *envdoc.Doc {
 	rnd := rand.New(rand.NewPCG(w.Seed, 1))
-	d := &envdoc.Doc{Environment: "replay", WeightStore: w.WeightStore, Classes: w.Classes}
+	d := strict.Default[envdoc.Doc]()
+	d.Environment, d.WeightStore, d.Classes = "replay", w.WeightStore, w.Classes
 	for i := range w.Callers {
-		d.Callers = append(d.Callers, envdoc.Caller{Name: fmt.Sprintf("caller%02d", i), Share: 1})
+		c := strict.Default[envdoc.Caller]()
+		c.Name = fmt.Sprintf("caller%02d", i)
+		d.Callers = append(d.Callers, c)
 	}
 	for _, p := range w.Pools {
-		w.addPool(d, p, rnd)
+		w.addPool(&d, p, rnd)
 	}
-	return d
+	return &d
 }
 
 func (w *Workload) addPool(d *envdoc.Doc, p PoolWorkload, rnd *rand.Rand) {
-	pool := envdoc.Pool{Name: p.Name, OrderHorizonS: 60}
+	pool := strict.Default[envdoc.Pool]()
+	pool.Name = p.Name
 	for i := range p.Engines {
-		pool.Engines = append(pool.Engines, envdoc.Engine{
-			Name: fmt.Sprintf("%s-%02d", p.Name, i), FailureDomain: fmt.Sprintf("fd%d", i%max(p.FailureDomains, 1)),
-			Accelerators: p.Accelerators, MemoryMB: p.UsableMB, MaxSeqs: p.MaxSeqs, ChecksFencing: true,
-		})
+		e := strict.Default[envdoc.Engine]()
+		e.Name, e.FailureDomain = fmt.Sprintf("%s-%02d", p.Name, i), fmt.Sprintf("fd%d", i%max(p.FailureDomains, 1))
+		e.Accelerators, e.MemoryMB, e.MaxSeqs, e.ChecksFencing = p.Accelerators, p.UsableMB, p.MaxSeqs, true
+		pool.Engines = append(pool.Engines, e)
 	}
 	d.Pools = append(d.Pools, pool)
 	class := p.Mix[0].Class
 	for i := range p.Models {
-		d.Models = append(d.Models, envdoc.Model{
-			Name: modelName(p, i), Version: "1", Pool: p.Name, MinCopies: 2, Class: class,
-			MemoryMB: randomInRange(rnd, p.ModelMB),
-		})
+		m := strict.Default[envdoc.Model]()
+		m.Name, m.Version, m.Pool, m.Class = modelName(p, i), "1", p.Name, class
+		m.MemoryMB = randomInRange(rnd, p.ModelMB)
+		d.Models = append(d.Models, m)
 	}
 	for i := range p.Adapters {
-		d.Adapters = append(d.Adapters, envdoc.Adapter{
-			Name: adapterName(p, i), Version: "1", Model: modelName(p, i%p.Models), MinCopies: 2, Class: class,
-			MemoryMB: randomInRange(rnd, p.AdapterMB),
-		})
+		a := strict.Default[envdoc.Adapter]()
+		a.Name, a.Version, a.Model, a.Class = adapterName(p, i), "1", modelName(p, i%p.Models), class
+		a.MemoryMB = randomInRange(rnd, p.AdapterMB)
+		d.Adapters = append(d.Adapters, a)
 	}
 }
 
