--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the formatters, the linters and every test under the race detector, those in virtual time also without it.
-# Tests that KNOWN-RED.txt lists are printed and skipped; every other test runs.
+# Tests that KNOWN-RED.txt lists are printed and skipped; every other test runs. The demo of README.md runs once.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -19,6 +19,12 @@
 tool staticcheck ./...
 tool revive -config revive.toml -set_exit_status ./...
 
+echo "== demo"
+# Its folder is kept if it fails.
+demo_dir=$(mktemp -d)
+TMPDIR=$demo_dir go run ./cmd/demo
+rm -r "$demo_dir"
+
 echo "== test"
 # An entry of KNOWN-RED.txt starts with "test: TestName".
 skip=""
