--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -9,12 +9,12 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/emul/script"
 	"github.com/figreel/figreel/internal/h1"
 )
 
@@ -255,7 +255,7 @@
 					scripts[i] = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"
 				}
 			}
-			addr, conns := serveAll(t, scripts)
+			srv, addr := serveScripts(t, false, scripts...)
 			p := &h1.Pool{IDHeader: "X-Id"}
 			for i, id := range tt.ids {
 				r := &h1.Request{Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", ID: id}
@@ -270,48 +270,38 @@
 					t.Fatalf("request %d: %v", i, err)
 				}
 			}
-			if n := int(conns.Load()); n != tt.want {
+			if n := srv.Conns(); n != tt.want {
 				t.Errorf("%d connections, want %d", n, tt.want)
 			}
 		})
 	}
 }
 
-// serveAll starts a server that answers the requests on all its connections with the scripts in turn.
-func serveAll(t *testing.T, scripts []string) (addr string, conns *atomic.Int32) {
+// serveScripts starts a server that answers the requests on all its connections with the scripts in turn.
+func serveScripts(t *testing.T, copies bool, scripts ...string) (srv *script.Server, addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	next := make(chan string, len(scripts))
+	for _, s := range scripts {
+		next <- s
+	}
+	srv = &script.Server{Copies: copies, Answer: func(r *http.Request) string {
+		answer := <-next
+		if end := strings.Index(answer, "\n\n"); r.Method == http.MethodHead {
+			answer = answer[:end+2]
+		}
+		return answer
+	}}
+	addr, err := srv.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	conns = new(atomic.Int32)
-	var next atomic.Int32
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
-					}
-					_, _ = io.WriteString(nc, strings.ReplaceAll(scripts[next.Add(1)-1], "\n", "\r\n"))
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), conns
+	t.Cleanup(func() { _ = srv.Close() })
+	return srv, addr
 }
 
 // Guards against an order or a report that is answered by a late response to a call on the same connection.
 func TestRequestWithoutID(t *testing.T) {
-	addr, _ := serveAll(t, []string{response("1", "r1"), response("1", "r1") + "HTTP/1.1 202 OK\nContent-Length: 2\n\nok"})
+	_, addr := serveScripts(t, true, response("1", "r1"), "HTTP/1.1 202 OK\nContent-Length: 2\n\nok")
 	p := &h1.Pool{IDHeader: "X-Id"}
 	for _, tt := range []struct {
 		id   string
@@ -344,7 +334,7 @@
 		{"GET after HEAD", []string{http.MethodHead, http.MethodGet}, head},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			addr := copier(t, tt.copied, response("2", "r2"))
+			_, addr := serveScripts(t, true, tt.copied, response("2", "r2"))
 			p := &h1.Pool{IDHeader: "X-Id"}
 			for i, method := range tt.methods {
 				res, err := p.Do(context.Background(), &h1.Request{
@@ -360,41 +350,3 @@
 		})
 	}
 }
-
-// copier starts a server that answers with the answers in turn, on a connection that has carried a request after a copy
-// of the answer before. The answer to a HEAD has no body.
-func copier(t *testing.T, answers ...string) (addr string) {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	var next atomic.Int32
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				due := ""
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					answer := strings.ReplaceAll(answers[next.Add(1)-1], "\n", "\r\n")
-					if end := strings.Index(answer, "\r\n\r\n"); r.Method == http.MethodHead {
-						answer = answer[:end+4]
-					}
-					_, _ = io.WriteString(nc, due+answer)
-					due = answer
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -126,10 +126,10 @@
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
 	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.CampaignRejected = func() { h.Stats.CountEvent("campaign_rejected") }
-	h.Stats.SetGaugeFunc("leader", func() int64 { return boolGauge(h.elector.IsLeader()) })
+	h.Stats.SetGaugeFunc("leader", func() int64 { return indicator(h.elector.IsLeader()) })
 	h.Stats.SetGaugeFunc("leader_known", func() int64 {
 		_, known := h.elector.Leader()
-		return boolGauge(known)
+		return indicator(known)
 	})
 	h.relay.promises.HandoverDelay = s.HandoverDelay
 	h.elector.PromisedUntil = h.relay.promises.Until
@@ -334,7 +334,7 @@
 func (h *Host) addresses(domain string) ([]string, time.Duration) {
 	hosts := h.cache.Hosts()
 	slices.SortStableFunc(hosts, func(a, b topo.Host) int {
-		return domainMatch(b, domain) - domainMatch(a, domain)
+		return int(indicator(b.Domain == domain) - indicator(a.Domain == domain))
 	})
 	var out []string
 	for _, o := range hosts {
@@ -348,20 +348,14 @@
 	return out, min(addressTTL, h.Settings.AddressTTL)
 }
 
-func boolGauge(v bool) int64 {
+// indicator returns 1 for true and 0 for false.
+func indicator(v bool) int64 {
 	if v {
 		return 1
 	}
 	return 0
 }
 
-func domainMatch(o topo.Host, domain string) int {
-	if o.Domain == domain {
-		return 1
-	}
-	return 0
-}
-
 // stopStage reports whether responses close their connections and whether new calls are rejected. It is called for each
 // call; while the host is stopping, it also records the current time as that of the last call.
 func (h *Host) stopStage() (closing, rejecting bool) {
--- a/internal/kvapi/copy_test.go
+++ b/internal/kvapi/copy_test.go
@@ -1,63 +1,36 @@
 package kvapi_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"path"
 	"testing"
 
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/emul/script"
 	"github.com/figreel/figreel/internal/kvapi"
 )
 
-// copyingStore listens on a socket and responds to each kind of call with the given status line and body. On a connection
-// that has carried a call, it sends a copy of the previous response first.
+// copyingStore responds to each kind of call with the given response, after a copy of the response before on the same
+// connection.
 func copyingStore(t *testing.T, responses map[string]string) (baseURL string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	s := &script.Server{Copies: true, Answer: func(r *http.Request) string { return responses[path.Base(r.URL.Path)] }}
+	addr, err := s.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(nc net.Conn) {
-		defer func() { _ = nc.Close() }()
-		br := bufio.NewReader(nc)
-		previous := ""
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			response := responses[path.Base(r.URL.Path)]
-			if _, err := io.WriteString(nc, previous+response); err != nil {
-				return
-			}
-			previous = response
-		}
-	}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc)
-		}
-	}()
-	return "http://" + l.Addr().String()
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + addr
 }
 
 // Guards against a write or renewal that counts as done because of a late copy of the response to an earlier call, so
 // that two hosts hold one claim or lease.
 func TestLateCopy(t *testing.T) {
 	response := func(status int, body string) string {
-		return fmt.Sprintf("HTTP/1.1 %d S\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		return fmt.Sprintf("HTTP/1.1 %d S\nContent-Type: application/json\nContent-Length: %d\n\n%s",
 			status, len(body), body)
 	}
 	entry := response(http.StatusOK, `{"key":"a","value":"","version":3,"revision":3}`)
--- a/internal/plain/copy_test.go
+++ b/internal/plain/copy_test.go
@@ -1,55 +1,32 @@
 package plain_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
+	"github.com/figreel/figreel/internal/emul/script"
 	"github.com/figreel/figreel/internal/plain"
 )
 
-// copyingUpstream listens on a socket. It responds to each request with the path as the body, and with the given status
-// if the path is /first. On a connection that has carried a request, it sends a copy of the previous response first.
+// copyingUpstream responds to each request with the path as the body, and with the given status if the path is /first,
+// after a copy of the response before on the same connection.
 func copyingUpstream(t *testing.T, firstStatus int) (baseURL string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	s := &script.Server{Copies: true, Answer: func(r *http.Request) string {
+		status := http.StatusOK
+		if r.URL.Path == "/first" {
+			status = firstStatus
+		}
+		return fmt.Sprintf("HTTP/1.1 %d S\nContent-Length: %d\n\n%s", status, len(r.URL.Path), r.URL.Path)
+	}}
+	addr, err := s.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(nc net.Conn) {
-		defer func() { _ = nc.Close() }()
-		br := bufio.NewReader(nc)
-		previous := ""
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			status := http.StatusOK
-			if r.URL.Path == "/first" {
-				status = firstStatus
-			}
-			response := fmt.Sprintf("HTTP/1.1 %d S\r\nContent-Length: %d\r\n\r\n%s", status, len(r.URL.Path), r.URL.Path)
-			if _, err := io.WriteString(nc, previous+response); err != nil {
-				return
-			}
-			previous = response
-		}
-	}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc)
-		}
-	}()
-	return "http://" + l.Addr().String()
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + addr
 }
 
 // Guards against a late copy of a rejection, or of the response to another caller, that is taken for the response to a
