--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -121,8 +121,8 @@
 	return score
 }
 
-// isMixed reports whether the upstreams of a service have several software versions. Hosts do not remember which of them
-// began a stream of a plain service.
+// isMixed reports whether the upstreams of a service have several software versions. Hosts do not remember which of
+// them began a stream of a plain service.
 func (b *Balancer) isMixed(service string) bool {
 	list := b.Upstreams(service)
 	return slices.ContainsFunc(list, func(u *topo.Upstream) bool { return u.Software != list[0].Software })
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -33,7 +33,8 @@
 	idleMargin = time.Second
 	// idlePerUpstream bounds the number of idle connections to one upstream.
 	idlePerUpstream = 16
-	// maxRequests is the number of requests with an ID after which a connection is closed, because it remembers their IDs.
+	// maxRequests is the number of requests with an ID after which a connection is closed, because it remembers their
+	// IDs.
 	maxRequests = 512
 	// bufferSize is the size of a connection's read buffer, in bytes. A request whose body is not larger is sent in one
 	// write.
@@ -264,8 +265,8 @@
 	c.carried = append(c.carried, xxhash.Sum64String(id))
 }
 
-// canCarry reports whether no copy of a response to an earlier request can be taken for the response to this one. A HEAD
-// needs a connection of its own: where the body of a copy ends follows from the method of its request.
+// canCarry reports whether no copy of a response to an earlier request can be taken for the response to this one. A
+// HEAD needs a connection of its own: where the body of a copy ends follows from the method of its request.
 func (c *conn) canCarry(r *Request) bool {
 	if r.Method == http.MethodHead {
 		return false
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the scheduler
-// does not know the software version that began the stream of the call, it is looked up in the store.
+// RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the
+// scheduler does not know the software version that began the stream of the call, it is looked up in the store.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
 	if req.TakesUp && req.Software == "" {
@@ -361,7 +361,8 @@
 		s.stats.CountEvent("departed_grant")
 		return false
 	case s.hasOtherSoftware(g):
-		s.log.Info().Str("call", req.Call).Str("upstream", g.Engine).Msg("leader granted an engine that has started again")
+		s.log.Info().Str("call", req.Call).Str("upstream", g.Engine).
+			Msg("leader granted an engine that has started again")
 		s.stats.CountEvent("outdated_grant")
 		return false
 	case !g.Probe && s.blocks(&req.Spec):
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -26,10 +26,11 @@
 	ReasonLimit = "limit_of_engines"
 	// ReasonHold rejects a call because the engines of its model want no calls from its host for a while.
 	ReasonHold = "hold_of_engines"
-	// ReasonVersionGone rejects a call that continues a stream, because no engine of the software version that began the
-	// stream can serve it.
+	// ReasonVersionGone rejects a call that continues a stream, because no engine of the software version that began
+	// the stream can serve it.
 	ReasonVersionGone = "version_gone"
-	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began it.
+	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began
+	// it.
 	ReasonVersionUnknown = "version_unknown"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
@@ -72,8 +73,8 @@
 		FirstEventIn time.Duration `cbor:"10,keyasint,omitempty"`
 		// Holds are the engines that want no calls from the host that received the call, and for how long.
 		Holds []Hold `cbor:"11,keyasint,omitempty"`
-		// TakesUp is set if the caller takes up a stream. Resumes is the ID of the attempt that began it, or empty if the
-		// caller does not name it.
+		// TakesUp is set if the caller takes up a stream. Resumes is the ID of the attempt that began it, or empty if
+		// the caller does not name it.
 		TakesUp bool   `cbor:"12,keyasint,omitempty"`
 		Resumes string `cbor:"13,keyasint,omitempty"`
 		// Software is the software version that the engine must have; empty allows any.
