Write records of streams under a key for each transaction

A transaction that got no response was repeated under the same key with the records that had come since. If the store executed the first one late, it removed these, and after the loss of all hosts their streams could not be taken up. Each transaction now has a key of its own, the leader pauses for a second after a failed call, and reads every 30 s what the store has, so that keys and versions that a late transaction has brought back are removed. TestLateWriteOfRecords failed before; the row on lost answers is new and passed.

--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -30,6 +30,11 @@
 	recordsPrefix = streamPrefix + "records/"
 	// saveInterval is the interval at which the leader saves new records.
 	saveInterval = 250 * time.Millisecond
+	// saveRetryDelay is the pause after a failed call.
+	saveRetryDelay = time.Second
+	// reloadInterval is the interval at which the leader reads what the store has, because a call without a response may
+	// be executed late.
+	reloadInterval = 30 * time.Second
 	// saveTimeout and lookupTimeout are the timeouts of one call to the store.
 	saveTimeout   = 900 * time.Millisecond
 	lookupTimeout = 300 * time.Millisecond
@@ -55,16 +60,17 @@
 		knownEra func() int64
 
 		// The fields up to the next mutex are those of the goroutine of run.
-		loaded  bool // the leader has read what the leaders before it have written
-		era     int64
-		saved   map[string][]string // versions of the services as the store has them
-		keys    []savedKey          // keys of records, oldest first
-		keySeq  int
-		failing bool // the last call for saving failed
+		loadedAt time.Time
+		era      int64
+		keys     []savedKey // keys of records, oldest first
+		keySeq   int
+		failing  bool // the last call for saving failed
 
 		mu     sync.Mutex
-		next   *streamRead // the read that has not begun
-		readAt time.Time   // when the last read began
+		loaded bool                // this host leads and has read what the leaders before it have written
+		saved  map[string][]string // versions of the services as the store has them
+		next   *streamRead         // the read that has not begun
+		readAt time.Time           // when the last read began
 	}
 
 	// streamRead is a read of all keys; several calls may wait for it.
@@ -87,12 +93,12 @@
 func (s *streamStore) run(ctx context.Context) {
 	for clock.Sleep(ctx, saveInterval) {
 		if !s.elector.IsLeader() {
-			s.loaded = false
+			s.setLoaded(false, nil)
 			continue
 		}
 		err := s.save(ctx)
 		if errors.Is(err, store.ErrRestored) {
-			s.loaded = false
+			s.setLoaded(false, nil)
 		}
 		if failing := err != nil; failing != s.failing && ctx.Err() == nil {
 			s.failing = failing
@@ -102,19 +108,35 @@
 			}
 			s.log.Info().Err(err).Msg(message)
 		}
+		if err != nil {
+			clock.Sleep(ctx, saveRetryDelay)
+		}
 	}
 }
 
+func (s *streamStore) setLoaded(loaded bool, saved map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded, s.saved = loaded, saved
+}
+
+// state reports whether this host leads and knows what the store has, and the versions of services in the store.
+func (s *streamStore) state() (loaded bool, saved map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded, s.saved
+}
+
 // save brings the records in the store up to date with one transaction at most.
 func (s *streamStore) save(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	if !s.loaded || s.knownEra() > s.era {
+	now := time.Now()
+	if loaded, _ := s.state(); !loaded || s.knownEra() > s.era || now.Sub(s.loadedAt) > reloadInterval {
 		if err := s.load(ctx); err != nil {
 			return err
 		}
 	}
-	now := time.Now()
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
 	mixed := streams.Mixed(now)
@@ -129,16 +151,17 @@
 	if err != nil || len(txn.Puts)+len(txn.Remove) == 0 {
 		return err
 	}
+	if len(records) > 0 {
+		// The transaction may be executed later if it gets no response, so no other one writes the same key.
+		s.keys = append(s.keys, savedKey{s.key(), now})
+		s.keySeq++
+	}
 	if _, err := s.store.Commit(ctx, txn); err != nil {
 		return err
 	}
 	s.stats.CountEvent("stream_saves")
-	s.saved = mixed
+	s.setLoaded(true, mixed)
 	s.keys = slices.DeleteFunc(s.keys, func(k savedKey) bool { return slices.Contains(txn.Remove, k.key) })
-	if len(records) > 0 {
-		s.keys = append(s.keys, savedKey{s.key(), now})
-		s.keySeq++
-	}
 	s.tickets.mu.Lock()
 	s.tickets.scheduler.Streams.SetSaved(records, true)
 	s.tickets.mu.Unlock()
@@ -156,8 +179,9 @@
 	now time.Time, mixed map[string][]string, records []vers.Record, retention time.Duration,
 ) (store.Txn, error) {
 	txn := store.Txn{Era: s.era}
+	_, saved := s.state()
 	for service, versions := range mixed {
-		if slices.Equal(s.saved[service], versions) {
+		if slices.Equal(saved[service], versions) {
 			continue
 		}
 		value, err := json.Marshal(versions)
@@ -167,7 +191,7 @@
 		txn.Puts = append(txn.Puts, store.Item{Key: mixedPrefix + service, Value: value})
 		s.log.Info().Str("service", service).Strs("versions", versions).Msg("service has several software versions")
 	}
-	for service := range s.saved {
+	for service := range saved {
 		if mixed[service] == nil {
 			txn.Remove = append(txn.Remove, mixedPrefix+service)
 			s.log.Info().Str("service", service).Msg("service has one software version")
@@ -188,30 +212,43 @@
 	return txn, nil
 }
 
-// load reads what earlier leaders have written. Their versions count as in service until now, because this leader does
-// not know when they ended.
+// load reads what the store has. What a new leader finds there counts as in service until now, because it does not know
+// when the versions ended.
 func (s *streamStore) load(ctx context.Context) error {
 	r, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
+	loaded, _ := s.state()
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
 	for service, versions := range r.mixed {
 		for _, v := range versions {
-			streams.SetInService(now, service, v)
+			if !loaded {
+				streams.SetInService(now, service, v)
+			}
 		}
 	}
 	if r.era != s.era {
 		streams.Forget()
 	}
 	s.tickets.mu.Unlock()
+	known := make(map[string]time.Time, len(s.keys))
+	for _, k := range s.keys {
+		known[k.key] = k.at
+	}
 	s.keys = nil
-	for _, k := range r.keys {
-		s.keys = append(s.keys, savedKey{k, now})
+	for _, key := range r.keys {
+		at, ok := known[key]
+		if !ok {
+			at = now
+		}
+		s.keys = append(s.keys, savedKey{key, at})
 	}
-	s.saved, s.era, s.loaded = r.mixed, r.era, true
+	slices.SortFunc(s.keys, func(a, b savedKey) int { return a.at.Compare(b.at) })
+	s.era, s.loadedAt = r.era, now
+	s.setLoaded(true, r.mixed)
 	return nil
 }
 
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,6 +155,11 @@
 			w.store.Do(func() { w.store.Fault = nil })
 			wait(2 * time.Second)
 		}, "v1 v2", "v1", "v2"},
+		{"the store loses its answers", "v1 v2", func(w world) {
+			w.store.Do(func() { w.store.LoseResponse = func(kind string) bool { return kind == "commit" } })
+			wait(3 * time.Second)
+			w.store.Do(func() { w.store.LoseResponse = nil })
+		}, "v1 v2", "v1", "v2"},
 		{"the store is restored from a copy without the records", "v1 v2", func(w world) {
 			older := w.store.Copy()
 			wait(time.Second)
@@ -185,6 +191,41 @@
 	}
 }
 
+// lateStore executes its next transaction late, and gives no response to it.
+type lateStore struct {
+	store.Store
+	late atomic.Bool
+}
+
+func (s *lateStore) Commit(ctx context.Context, t store.Txn) (store.Version, error) {
+	if s.late.Swap(false) {
+		time.AfterFunc(3*time.Second, func() { _, _ = s.Store.Commit(context.Background(), t) })
+		return store.Version{}, store.ErrOutcomeUnknown
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// Guards against records that a transaction without a response removes when it is executed late.
+func TestLateWriteOfRecords(t *testing.T) {
+	withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+		late := &lateStore{Store: s}
+		list(leader, "v1", "v2")
+		time.Sleep(time.Second)
+		leader.streams.store = late
+		late.late.Store(true)
+		begin(leader, leader, "a", "v1")
+		time.Sleep(saveInterval + time.Millisecond)
+		begin(leader, leader, "b", "v2")
+		time.Sleep(5 * time.Second)
+		fresh := streamTickets(s, "v1", "v2")
+		for id, want := range map[string]string{"a": "v1", "b": "v2"} {
+			if got := takeUp(t, fresh, id); got != want {
+				t.Errorf("take-up of %s: %q, want %q", id, got, want)
+			}
+		}
+	})
+}
+
 // Guards against a store that gets records while all streams can only go on at one version, against more than one write
 // in each interval, and against records that stay in the store when they are of no use any more.
 func TestStreamRecordsInStore(t *testing.T) {
