Let the leader answer for the store on unknown streams

Each take-up of a stream that nobody knows cost a read of all records at its host, up to ten times a second, although the leader has read them and writes them itself. A leader that knows what the store has, and whose list of upstreams is up to date, now decides alone; hosts read only without such a leader, and less often in large fleets (10 ms for each host between two reads of one).

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -65,7 +65,7 @@
 func (s *ticketService) requestFor(f *follower, req sched.Request) {
 	s.mu.Lock()
 	s.updateLimitShare()
-	decision := s.scheduler.Schedule(time.Now(), req)
+	decision := s.schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
 	case sched.Granted:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,6 +114,7 @@
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
 		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
+		hosts: h.cache.hostCount,
 	}
 	h.tickets.streams = h.streams
 	h.cache.onChange = h.updateScheduler
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -32,14 +32,16 @@
 	saveInterval = 250 * time.Millisecond
 	// saveRetryDelay is the pause after a failed call.
 	saveRetryDelay = time.Second
-	// reloadInterval is the interval at which the leader reads what the store has, because a call without a response may
-	// be executed late.
+	// reloadInterval is the interval at which the leader reads what the store has, because a call without a response
+	// may be executed late.
 	reloadInterval = 30 * time.Second
 	// saveTimeout and lookupTimeout are the timeouts of one call to the store.
 	saveTimeout   = 900 * time.Millisecond
 	lookupTimeout = 300 * time.Millisecond
-	// lookupInterval is the minimum time between two reads of the records.
-	lookupInterval = 100 * time.Millisecond
+	// lookupInterval is the minimum time between two reads of the records by one host, and hostLookupInterval by one
+	// host of a fleet, for each host of it.
+	lookupInterval     = 100 * time.Millisecond
+	hostLookupInterval = 10 * time.Millisecond
 	// maxRecords bounds the records under one key, and maxOldKeys the keys that one transaction removes.
 	maxRecords = 20_000
 	maxOldKeys = 20
@@ -58,6 +60,8 @@
 		isCurrent func() bool
 		// knownEra returns the newest era of the store that this host knows.
 		knownEra func() int64
+		// hosts returns the number of registered hosts.
+		hosts func() int
 
 		// The fields up to the next mutex are those of the goroutine of run.
 		loadedAt time.Time
@@ -260,7 +264,8 @@
 	if r == nil {
 		r = &streamRead{done: make(chan struct{})}
 		s.next = r
-		time.AfterFunc(time.Until(s.readAt.Add(lookupInterval)), func() { s.list(r) })
+		interval := max(lookupInterval, time.Duration(s.hosts())*hostLookupInterval)
+		time.AfterFunc(time.Until(s.readAt.Add(interval)), func() { s.list(r) })
 	}
 	s.mu.Unlock()
 	select {
@@ -308,6 +313,25 @@
 	s.tickets.scheduler.Streams.Load(time.Now(), records...)
 }
 
+// schedule asks the local scheduler for a decision. As the leader, it also decides on take-ups of streams that it does
+// not know, if it knows what the store has and the list of upstreams is up to date. s.mu is held.
+func (s *ticketService) schedule(now time.Time, req sched.Request) sched.Decision {
+	decision := s.scheduler.Schedule(now, req)
+	if decision.Reason != sched.ReasonVersionUnknown || s.streams == nil {
+		return decision
+	}
+	loaded, saved := s.streams.state()
+	if !loaded || !s.streams.isCurrent() {
+		return decision
+	}
+	if versions := s.scheduler.Streams.Versions(now, req.Service); len(versions) == 1 && len(saved[req.Service]) == 0 {
+		req.Software = versions[0]
+		return s.scheduler.Schedule(now, req)
+	}
+	decision.Final = true
+	return decision
+}
+
 // softwareOf returns the software version that began the stream of an attempt, or an empty string if this host does not
 // know it.
 func (s *ticketService) softwareOf(id string) string {
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -29,6 +29,7 @@
 	tk.streams = &streamStore{
 		store: s, elector: tk.elector, tickets: tk, stats: tk.stats, log: tk.log,
 		isCurrent: func() bool { return true }, knownEra: func() int64 { return 0 },
+		hosts: func() int { return 6 },
 	}
 	tk.scheduler.SetConfig(&topo.Config{
 		Routes: []topo.Route{{Kind: topo.Stream, Resumable: true, Timeout: streamTimeout}},
@@ -191,6 +192,42 @@
 	}
 }
 
+// Guards against a host that asks the store for streams of which its leader knows that nobody knows them, and against a
+// leader that answers so before it knows what the store has, or without an up to date list.
+func TestLeaderKnowsOfStreams(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		listed string
+		before func(leader *ticketService)
+		want   string
+		asks   bool // the store
+	}{
+		{"several versions", "v1 v2", func(*ticketService) {}, sched.ReasonVersionUnknown, false},
+		{"one version", "v2", func(*ticketService) {}, "v2", false},
+		{"one version, list out of date", "v2", func(leader *ticketService) {
+			leader.streams.isCurrent = func() bool { return false }
+		}, "v2", true},
+		{"several versions, store not read yet", "v1 v2", func(leader *ticketService) {
+			leader.streams.setLoaded(false, nil)
+		}, sched.ReasonVersionUnknown, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+				list(leader, strings.Fields(tt.listed)...)
+				time.Sleep(time.Second)
+				tt.before(leader)
+				reads := s.Calls("list")
+				if got := takeUp(t, leader, "other"); got != tt.want {
+					t.Errorf("take-up of an unknown stream: %q, want %q", got, tt.want)
+				}
+				if asked := s.Calls("list") > reads; asked != tt.asks {
+					t.Errorf("the store was read: %v, want %v", asked, tt.asks)
+				}
+			})
+		})
+	}
+}
+
 // lateStore executes its next transaction late, and gives no response to it.
 type lateStore struct {
 	store.Store
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -90,7 +90,7 @@
 		req.Software = s.softwareOf(req.Resumes)
 	}
 	decision, err := s.requestTicket(ctx, req)
-	if err != nil || decision.Reason != sched.ReasonVersionUnknown {
+	if err != nil || decision.Reason != sched.ReasonVersionUnknown || decision.Final {
 		return decision, err
 	}
 	software, ok := s.findSoftware(ctx, &req)
@@ -250,7 +250,7 @@
 	reply := make(chan sched.Decision, 1)
 	s.mu.Lock()
 	s.updateLimitShare()
-	decision := s.scheduler.Schedule(time.Now(), req)
+	decision := s.schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
 	case sched.Waiting:
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -97,6 +97,8 @@
 		Reason string `cbor:"4,keyasint,omitempty"`
 		// RetryAfter is the time after which a rejected call may be accepted.
 		RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
+		// Final is set if a call was rejected for a stream that is not known, and the store does not know it either.
+		Final bool `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Grant names the engine that a call may be sent to.
