Check which start of an engine a connection leads to while a service has several versions

Expect-Instance names the id only. While a service has several versions, the first stream on a connection to an engine is now preceded by a status report on the same connection, which names the start; a connection does not outlive it. If it is another start, the request counts as not sent.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -101,7 +101,11 @@
 	c.tried = append(c.tried, g.Engine)
 	c.firstEventSent = false
 	sent := time.Now()
-	res, err := c.s.Pool.Do(c.ctx, c.upstreamRequest(g.Addr, g.Engine))
+	r := c.upstreamRequest(g.Addr, g.Engine)
+	if g.Mixed && c.s.StartCheck != nil {
+		r.Check = c.s.StartCheck(topo.Instance{ID: g.Engine, Boot: g.Boot})
+	}
+	res, err := c.s.Pool.Do(c.ctx, r)
 	if errors.Is(err, h1.ErrNotSent) {
 		c.s.Stats.CountRetry("not_sent")
 		return tryNext, c.failureOutcome(sched.Failed)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,7 +32,8 @@
 	ParseNotice ParseNotice // nil if upstreams do not state which calls they take
 	Notices     *notice.Table
 	ParseSpec   ParseSpec
-	Domain      string // failure domain of this host
+	StartCheck  StartCheck // nil if connections need no check
+	Domain      string     // failure domain of this host
 	Config      func() *topo.Config
 	Pool        *h1.Pool
 	Tickets     TicketClient
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -81,6 +82,9 @@
 		Spend(service string) bool
 	}
 
+	// StartCheck returns the check that a connection leads to an instance.
+	StartCheck func(topo.Instance) *h1.Check
+
 	// ParseSpec parses the call spec from a call's headers.
 	ParseSpec func(http.Header) (topo.CallSpec, error)
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -86,6 +86,18 @@
 		// sent again. A request without an ID that is not a GET goes out only on a connection that has carried no other
 		// without one; the caller of a GET without an ID has to recognize the response to another.
 		ID string
+		// Check is sent first if the connection has not been checked; nil checks nothing. If it fails, the request is
+		// not sent.
+		Check *Check
+	}
+
+	// Check is a GET that is sent before the first request with a check on a connection. It shows which process the
+	// connection leads to, because a connection does not outlive its process.
+	Check struct {
+		Target string
+		Header http.Header
+		// Accept returns an error if the response is not that of the process that is meant.
+		Accept func(status int, body []byte) error
 	}
 
 	conn struct {
@@ -99,6 +111,7 @@
 		carried   []uint64 // hashes of their IDs
 		unmatched bool     // one of them had no ID
 		reused    bool
+		checked   bool
 	}
 )
 
@@ -109,6 +122,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.check(ctx, c, r); err != nil {
+		c.abort()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
 	c.addRequest(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.abort() })
 	written := make(chan error, 1)
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -350,3 +350,71 @@
 		})
 	}
 }
+
+// Guards against a request that reaches another start of its upstream than the one that is meant, and against a check that
+// is sent more than once on a connection or whose response answers a request.
+func TestCheck(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\nContent-Length: 4\n"
+	check := &h1.Check{Target: "/report", Accept: func(status int, body []byte) error {
+		if status != http.StatusOK || string(body) != "good" {
+			return errors.New("other start")
+		}
+		return nil
+	}}
+	for _, tt := range []struct {
+		name    string
+		report  string
+		checked []bool // which requests want a check
+		want    []string
+		paths   string // that the upstream gets
+	}{
+		{"accepted once", head + "\ngood", []bool{true, true}, []string{"r1", "r2"}, "/report / /"},
+		{"on a connection that was used before", head + "\ngood", []bool{false, true}, []string{"r1", "r2"}, "/ /report /"},
+		{"other start", head + "\nelse", []bool{true}, []string{"not sent"}, "/report"},
+		{"connection ends", head + "Connection: close\n\ngood", []bool{true}, []string{"not sent"}, "/report"},
+		{"no HTTP", "oops\n\n", []bool{true}, []string{"not sent"}, "/report"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var paths []string
+			srv := &script.Server{IDHeader: "X-Id", Answer: func(r *http.Request) string {
+				paths = append(paths, r.URL.Path)
+				if r.URL.Path == "/report" {
+					return tt.report
+				}
+				return response("$ID", "r"+r.Header.Get("X-Id"))
+			}}
+			addr, err := srv.Listen()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = srv.Close() }()
+			p := &h1.Pool{IDHeader: "X-Id"}
+			for i, want := range tt.want {
+				id := strconv.Itoa(i + 1)
+				r := &h1.Request{
+					Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id,
+				}
+				if tt.checked[i] {
+					r.Check = check
+				}
+				got := ""
+				res, err := p.Do(context.Background(), r)
+				switch {
+				case errors.Is(err, h1.ErrNotSent):
+					got = "not sent"
+				case err != nil:
+					got = err.Error()
+				default:
+					b, _ := res.ReadAll(100)
+					got = string(b)
+				}
+				if got != want {
+					t.Errorf("request %d: %q, want %q", i+1, got, want)
+				}
+			}
+			if got := strings.Join(paths, " "); got != tt.paths {
+				t.Errorf("the upstream got %q, want %q", got, tt.paths)
+			}
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -141,7 +141,7 @@
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
-		ParseNotice: h.Platform.ParseNotice, Notices: notices,
+		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config,
 		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -38,10 +38,10 @@
 	// saveTimeout and lookupTimeout are the timeouts of one call to the store.
 	saveTimeout   = 900 * time.Millisecond
 	lookupTimeout = 300 * time.Millisecond
-	// lookupInterval is the minimum time between two reads of the records by one host, and hostLookupInterval by one
-	// host of a fleet, for each host of it.
-	lookupInterval     = 100 * time.Millisecond
-	hostLookupInterval = 10 * time.Millisecond
+	// lookupInterval is the minimum time between two reads of the records by one host. intervalPerHost is the minimum
+	// time between two calls of one host without a leader, for each host of the fleet.
+	lookupInterval  = 100 * time.Millisecond
+	intervalPerHost = 10 * time.Millisecond
 	// maxRecords bounds the records under one key, and maxOldKeys the keys that one transaction removes.
 	maxRecords = 20_000
 	maxOldKeys = 20
@@ -172,10 +172,13 @@
 	return nil
 }
 
-// key returns the key of the next records of this leader.
+// hostInterval returns the minimum time between two calls of one host, so that those of a large fleet are not too many.
+func (s *streamStore) hostInterval() time.Duration { return time.Duration(s.hosts()) * intervalPerHost }
+
+// key returns the key of the next records of this host.
 func (s *streamStore) key() string {
 	t, _ := s.elector.Term()
-	return recordsPrefix + t.Nonce + "/" + strconv.Itoa(s.keySeq)
+	return recordsPrefix + s.tickets.self + "/" + t.Nonce + "/" + strconv.Itoa(s.keySeq)
 }
 
 // transaction returns what has to be written: the versions of services, new records, and the removal of old ones.
@@ -264,7 +267,7 @@
 	if r == nil {
 		r = &streamRead{done: make(chan struct{})}
 		s.next = r
-		interval := max(lookupInterval, time.Duration(s.hosts())*hostLookupInterval)
+		interval := max(lookupInterval, s.hostInterval())
 		time.AfterFunc(time.Until(s.readAt.Add(interval)), func() { s.list(r) })
 	}
 	s.mu.Unlock()
@@ -367,6 +370,16 @@
 	return versions[0], len(r.mixed[req.Service]) == 0
 }
 
+// noteMixed sets in a grant whether the service has several versions, so that the start of the engine has to be
+// checked.
+func (s *ticketService) noteMixed(req *sched.Request, decision sched.Decision) sched.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.scheduler.Streams.Versions(time.Now(), req.Service)
+	decision.Grant.Mixed = req.Resumable && len(versions) > 1
+	return decision
+}
+
 // hasOtherSoftware reports whether the engine of a grant has started again with another software version since.
 func (s *ticketService) hasOtherSoftware(g sched.Grant) bool {
 	s.mu.Lock()
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -91,7 +91,7 @@
 	}
 	decision, err := s.requestTicket(ctx, req)
 	if err != nil || decision.Reason != sched.ReasonVersionUnknown || decision.Final {
-		return decision, err
+		return s.noteMixed(&req, decision), err
 	}
 	software, ok := s.findSoftware(ctx, &req)
 	s.log.Info().Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).Bool("found", ok).
@@ -101,7 +101,8 @@
 	}
 	req.Software = software
 	req.Remaining -= time.Since(start)
-	return s.requestTicket(ctx, req)
+	decision, err = s.requestTicket(ctx, req)
+	return s.noteMixed(&req, decision), err
 }
 
 // requestTicket requests a ticket from the leader, or from the local scheduler if the leader does not reply.
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -49,6 +49,8 @@
 		ParseLoad entry.ParseLoad
 		// ParseNotice parses what upstreams state in their responses about the calls that they take.
 		ParseNotice entry.ParseNotice
+		// StartCheck returns the check that a connection leads to an instance; nil if there is none.
+		StartCheck entry.StartCheck
 		// Serve serves the readiness endpoint and the address directory until ctx ends.
 		Serve func(ctx context.Context, endpoints Endpoints) error
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -118,6 +118,8 @@
 		DelayedBy string `cbor:"9,keyasint,omitempty"`
 		// Software is the software version of the engine.
 		Software string `cbor:"10,keyasint,omitempty"`
+		// Mixed is set if the engines of the service have several software versions and the stream can be continued.
+		Mixed bool `cbor:"11,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
