Save the streams of hosts that have no leader

A host without a leader now saves its own records itself, as often as a leader does and less often in large fleets. The row of TestTakeUpOfStreams failed before by construction (nothing was saved).

--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -4,6 +4,10 @@
 	"net/http"
 	"testing"
 
+	"github.com/pkg/errors"
+
+	"github.com/figreel/figreel/internal/entry"
+	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -105,3 +109,43 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at another start of an engine than the one whose version is known, and against a
+// check of every connection while there is one version.
+func TestStartIsChecked(t *testing.T) {
+	const report = "HTTP/1.1 200 OK\nContent-Length: 4\n\n"
+	stream := join(sseHeader, chunk(event("1")), "0\n\n")
+	for _, tt := range []struct {
+		name     string
+		mixed    bool
+		scripts  []string
+		want     int // status
+		requests int
+	}{
+		{"one version", false, []string{stream}, http.StatusOK, 1},
+		{"several versions", true, []string{report + "good", stream}, http.StatusOK, 2},
+		{"started again", true, []string{report + "else"}, http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, tt.scripts...)
+			u.mixed = tt.mixed
+			check := func(s *entry.Server) {
+				s.StartCheck = func(topo.Instance) *h1.Check {
+					return &h1.Check{Target: "/report", Accept: func(_ int, body []byte) error {
+						if string(body) != "good" {
+							return errors.New("started again")
+						}
+						return nil
+					}}
+				}
+			}
+			srv, _ := newServer(t, config(topo.Stream, true, 2), nil, []*upstream{u}, 5, check)
+			if status, _, _, err := send(t, srv.URL, "/m/x", "body"); err != nil || status != tt.want {
+				t.Errorf("status %d, %v, want %d", status, err, tt.want)
+			}
+			if n := len(u.requests()); n != tt.requests {
+				t.Errorf("%d requests, want %d", n, tt.requests)
+			}
+		})
+	}
+}
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -93,14 +93,18 @@
 	}
 )
 
-// run saves new records while this host is the leader, until ctx ends.
+// run saves new records while this host is the leader, and those of its own streams while it has none, until ctx ends.
 func (s *streamStore) run(ctx context.Context) {
-	for clock.Sleep(ctx, saveInterval) {
-		if !s.elector.IsLeader() {
+	for interval := saveInterval; clock.Sleep(ctx, interval); {
+		save := s.save
+		if interval = saveInterval; !s.elector.IsLeader() {
 			s.setLoaded(false, nil)
-			continue
+			if s.tickets.hasLeader() {
+				continue
+			}
+			save, interval = s.saveOwn, max(saveInterval, s.hostInterval())
 		}
-		err := s.save(ctx)
+		err := save(ctx)
 		if errors.Is(err, store.ErrRestored) {
 			s.setLoaded(false, nil)
 		}
@@ -172,6 +176,37 @@
 	return nil
 }
 
+// saveOwn saves the new records of the streams that began at this host. The next leader finds them in the store, also
+// if this host is lost before.
+func (s *streamStore) saveOwn(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	s.tickets.mu.Lock()
+	streams := &s.tickets.scheduler.Streams
+	var records []vers.Record
+	if len(streams.Mixed(time.Now())) > 0 {
+		records = streams.UnsavedOwn()
+	}
+	s.tickets.mu.Unlock()
+	if len(records) == 0 {
+		return nil
+	}
+	value, err := cbor.Marshal(records)
+	if err != nil {
+		return errors.Wrap(err, "encode records of streams")
+	}
+	txn := store.Txn{Era: s.knownEra(), Puts: []store.Item{{Key: s.key(), Value: value}}}
+	s.keySeq++
+	if _, err := s.store.Commit(ctx, txn); err != nil {
+		return err
+	}
+	s.stats.CountEvent("stream_saves")
+	s.tickets.mu.Lock()
+	s.tickets.scheduler.Streams.SetSaved(records, true)
+	s.tickets.mu.Unlock()
+	return nil
+}
+
 // hostInterval returns the minimum time between two calls of one host, so that those of a large fleet are not too many.
 func (s *streamStore) hostInterval() time.Duration { return time.Duration(s.hosts()) * intervalPerHost }
 
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -111,6 +111,8 @@
 func TestTakeUpOfStreams(t *testing.T) {
 	const unknown, gone = sched.ReasonVersionUnknown, sched.ReasonVersionGone
 	type world struct {
+		t            *testing.T
+		ctx          context.Context
 		store        *stub.Store
 		leader, host *ticketService
 	}
@@ -156,6 +158,14 @@
 			w.store.Do(func() { w.store.Fault = nil })
 			wait(2 * time.Second)
 		}, "v1 v2", "v1", "v2"},
+		{"no host leads, then the host of the streams is lost", "v1 v2", func(w world) {
+			go w.host.streams.run(w.ctx)
+			begin(w.host, w.host, "c", "v1")
+			wait(time.Second)
+			if got := takeUp(w.t, streamTickets(w.store, "v1", "v2"), "c"); got != "v1" {
+				w.t.Errorf("take-up of a stream that began without a leader: %q, want v1", got)
+			}
+		}, "v1 v2", "v1", "v2"},
 		{"the store loses its answers", "v1 v2", func(w world) {
 			w.store.Do(func() { w.store.LoseResponse = func(kind string) bool { return kind == "commit" } })
 			wait(3 * time.Second)
@@ -171,7 +181,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
 				versions := strings.Fields(tt.listed)
-				w := world{s, leader, streamTickets(s, versions...)}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := world{t, ctx, s, leader, streamTickets(s, versions...)}
 				list(leader, versions...)
 				time.Sleep(saveInterval / 2)
 				begin(w.host, leader, "a", versions[0])
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -237,6 +237,13 @@
 	}
 }
 
+// hasLeader reports whether this host is connected to a leader.
+func (s *ticketService) hasLeader() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderConn != nil
+}
+
 func (s *ticketService) usableLeaderConn() *link.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/vers/table.go
+++ b/internal/vers/table.go
@@ -94,6 +94,11 @@
 // Own returns the records of the streams that began at this host.
 func (t *Table) Own() []Record { return t.records(func(e entry) bool { return e.own }) }
 
+// UnsavedOwn returns the records of the streams that began at this host and are not in the store.
+func (t *Table) UnsavedOwn() []Record {
+	return t.records(func(e entry) bool { return e.own && !e.saved })
+}
+
 // Unsaved returns the records that are not in the store.
 func (t *Table) Unsaved() []Record { return t.records(func(e entry) bool { return !e.saved }) }
 
--- a/internal/vers/table_test.go
+++ b/internal/vers/table_test.go
@@ -103,6 +103,9 @@
 	if own := tb.Own(); len(own) != 1 || own[0].Stream != vers.Stream("a") {
 		t.Errorf("own records %v", own)
 	}
+	if own := tb.UnsavedOwn(); len(own) != 1 || own[0].Stream != vers.Stream("a") {
+		t.Errorf("own records to save %v", own)
+	}
 	if n := len(tb.Unsaved()); n != 2 {
 		t.Errorf("%d records to save, want those begun here and learned", n)
 	}
