--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/clock"
+	"github.com/figreel/figreel/internal/opcli"
 )
 
 const (
@@ -27,7 +28,8 @@
 }
 
 // Apply runs "figreel apply" with the cluster's document and returns its output. It tries one host after the other
-// until one accepts the document. When ctx ends or a process fails first, it returns that and the last error of a host.
+// until one accepts the document or finds it invalid. When ctx ends or a process fails first, it returns that and the
+// last error of a host.
 func (c *Cluster) Apply(ctx context.Context) ([]byte, error) {
 	ctx, cancel := c.Watch(ctx)
 	defer cancel()
@@ -43,6 +45,9 @@
 				return nil, applyError(ctx, lastErr)
 			}
 			lastErr = errors.Errorf("%s: %s", err, bytes.TrimSpace(out))
+			if exit := new(exec.ExitError); errors.As(err, &exit) && exit.ExitCode() == opcli.ExitFindings {
+				return nil, errors.Wrap(lastErr, "figreel apply")
+			}
 		}
 		if !clock.Sleep(ctx, pollInterval) {
 			return nil, applyError(ctx, lastErr)
--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// Guards against a failed "figreel apply" without an error text, or without the answer of the last host.
+// Guards against a failed "figreel apply" without an error text or the answer of the last host, and against repeated
+// attempts with a document that no host accepts.
 func TestApplyError(t *testing.T) {
 	for _, tt := range []struct {
 		name, script string
@@ -119,12 +120,20 @@
 			time.Second,
 			[]string{"deadline exceeded", "exit status 1", "kv_unavailable"},
 		},
+		{
+			"invalid document", "echo environment.yaml:3: is wrong; exit 2", time.Minute,
+			[]string{"exit status 2", "environment.yaml:3: is wrong"},
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := scriptCluster(t, tt.script)
+			began := time.Now()
 			ctx, cancel := context.WithTimeout(t.Context(), tt.timeout)
 			defer cancel()
 			_, err := c.Apply(ctx)
+			if elapsed := time.Since(began); elapsed > failureTimeout {
+				t.Errorf("the error was returned after %s", elapsed)
+			}
 			for _, want := range tt.want {
 				if err == nil || !strings.Contains(err.Error(), want) {
 					t.Errorf("error %v, want one with %s", err, want)
