Give a signal more time to reach its receivers

On a busy machine a SIGTERM may take longer than 100 ms to reach the channel of the process after go-zero has got it; it would then count twice, which ends a graceful shutdown. The wait is 500 ms now; it only matters for a signal in the first milliseconds of a process.

--- a/cmd/figreel/signal.go
+++ b/cmd/figreel/signal.go
@@ -9,8 +9,8 @@
 	"github.com/zeromicro/go-zero/core/proc"
 )
 
-// signalDelay is the time in which a signal reaches all its receivers.
-const signalDelay = 100 * time.Millisecond
+// signalDelay is the time in which a signal reaches all its receivers, also on a busy machine.
+const signalDelay = 500 * time.Millisecond
 
 // stopSignals returns the signals that stop the process, including one that came before the call.
 func stopSignals() <-chan os.Signal {
