Write no key of records that an earlier process of the host has written

A host without a leader and without a lease used the same keys as its process before, so the records that this had saved were replaced, and streams that began there could not be taken up. Keys name the process now. The addition to TestTakeUpOfStreams failed before.

--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -64,6 +65,7 @@
 		hosts func() int
 
 		// The fields up to the next mutex are those of the goroutine of run.
+		process  string // identifies this process in keys
 		loadedAt time.Time
 		era      int64
 		keys     []savedKey // keys of records, oldest first
@@ -210,10 +212,13 @@
 // hostInterval returns the minimum time between two calls of one host, so that those of a large fleet are not too many.
 func (s *streamStore) hostInterval() time.Duration { return time.Duration(s.hosts()) * intervalPerHost }
 
-// key returns the key of the next records of this host.
+// key returns the key of the next records of this host. No other process uses it, also not a later one of the same
+// host.
 func (s *streamStore) key() string {
-	t, _ := s.elector.Term()
-	return recordsPrefix + s.tickets.self + "/" + t.Nonce + "/" + strconv.Itoa(s.keySeq)
+	if s.process == "" {
+		s.process = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	return recordsPrefix + s.tickets.self + "/" + s.process + "/" + strconv.Itoa(s.keySeq)
 }
 
 // transaction returns what has to be written: the versions of services, new records, and the removal of old ones.
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -165,6 +165,13 @@
 			if got := takeUp(w.t, streamTickets(w.store, "v1", "v2"), "c"); got != "v1" {
 				w.t.Errorf("take-up of a stream that began without a leader: %q, want v1", got)
 			}
+			again := streamTickets(w.store, "v1", "v2")
+			go again.streams.run(w.ctx)
+			begin(again, again, "d", "v2")
+			wait(time.Second)
+			if got := takeUp(w.t, streamTickets(w.store, "v1", "v2"), "c"); got != "v1" {
+				w.t.Errorf("take-up after the host has started again: %q, want v1", got)
+			}
 		}, "v1 v2", "v1", "v2"},
 		{"the store loses its answers", "v1 v2", func(w world) {
 			w.store.Do(func() { w.store.LoseResponse = func(kind string) bool { return kind == "commit" } })
