--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -91,7 +91,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		fl := newFleet(ctx, 1)
 		h := fl.hosts[0]
-		leader := streamTickets(h)
+		leader := streamTickets(&lateStore{Store: h})
 		leader.elector = h.cache.elector
 		leader.streams.elector, leader.streams.knownEra = h.cache.elector, h.cache.era
 		go leader.streams.run(ctx)
@@ -264,11 +264,9 @@
 // Guards against records that a transaction without a response removes when it is executed late.
 func TestLateWriteOfRecords(t *testing.T) {
 	withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
-		late := &lateStore{Store: s}
 		list(leader, "v1", "v2")
 		time.Sleep(time.Second)
-		leader.streams.store = late
-		late.late.Store(true)
+		leader.streams.store.(*lateStore).late.Store(true)
 		begin(leader, leader, "a", "v1")
 		time.Sleep(saveInterval + time.Millisecond)
 		begin(leader, leader, "b", "v2")
