--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -7,6 +7,15 @@
 	"github.com/figreel/figreel/internal/sched"
 )
 
+// hello returns the first message to a leader: what it has to know of this host's calls. s.mu is held.
+func (s *ticketService) hello() *link.Message {
+	m := &link.Message{Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own()}
+	for _, t := range s.openTickets {
+		m.OpenTickets = append(m.OpenTickets, *t)
+	}
+	return m
+}
+
 // serveFollower restores the open tickets of a follower and handles its messages until the connection ends.
 func (s *ticketService) serveFollower(c *link.Conn, hello *link.Message) {
 	f := &follower{conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -471,15 +471,6 @@
 	return err
 }
 
-// hello returns the first message to a leader: what it has to know of this host's calls. s.mu is held.
-func (s *ticketService) hello() *link.Message {
-	m := &link.Message{Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own()}
-	for _, t := range s.openTickets {
-		m.OpenTickets = append(m.OpenTickets, *t)
-	}
-	return m
-}
-
 func (s *ticketService) readReplies(c *link.Conn) error {
 	for {
 		m, err := c.Receive()
