Give processes of local clusters ports that no connection gets

A host that was killed could not start again: "listen for the operator API: bind: address already in use". The ports of processes were taken from the kernel's range for outgoing connections, so while a host was down another process's connection could get its port; since figreel serve keeps no connections there are more of them. The ports are now random ones below that range. TestPortsOfProcesses would fail before: all ports were in the range.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -26,6 +27,12 @@
 	defaultEngineMB  = 80_000
 	defaultReserveMB = 20_000
 	fileMode         = 0o600
+
+	// minPort and endPort bound the ports of processes; they lie below the range for outgoing connections. portAttempts
+	// is how many of them are tried for each address.
+	minPort      = 10_000
+	endPort      = 32_768
+	portAttempts = 100
 )
 
 // serviceUpstreams are the upstreams of the plain service. There are two, so that a wrong retry of a non-idempotent
@@ -235,7 +242,7 @@
 		}
 	}()
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenAnywhere()
 		if err != nil {
 			return errors.Wrap(err, "find a free port")
 		}
@@ -245,6 +252,18 @@
 	return nil
 }
 
+// listenAnywhere listens on a random port that the kernel gives to no outgoing connection, so that a process which has
+// ended can listen on its port again.
+func listenAnywhere() (l net.Listener, err error) {
+	for range portAttempts {
+		port := minPort + rand.IntN(endPort-minPort)
+		if l, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 func (c *Cluster) writeCertificates() error {
 	authority, err := certs.NewAuthority(certValidity)
 	if err != nil {
--- a/internal/local/settings_test.go
+++ b/internal/local/settings_test.go
@@ -26,3 +26,17 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a process that cannot start again because a connection has taken its port meanwhile.
+func TestPortsOfProcesses(t *testing.T) {
+	c := &Cluster{Dir: t.TempDir(), Hosts: 3, Engines: 4, Document: SmallDocument}
+	c.prepare()
+	must(t, c.reservePorts())
+	seen := make(map[int]string)
+	for name, port := range c.ports {
+		if port < minPort || port >= endPort || seen[port] != "" {
+			t.Errorf("%s has the port %d, which also %q may use", name, port, seen[port])
+		}
+		seen[port] = name
+	}
+}
