Rename package quota to loads

Cause: the package holds the tickets for loads of models from the weight store. Usage quotas of workspaces are about to be built, and the old name would be read as theirs. Change: package quota is loads; no behaviour changes. Result: the packages that use it build and vet.

--- a/internal/quota/client.go
+++ b/internal/loads/client.go
@@ -1,4 +1,4 @@
-package quota
+package loads
 
 import (
 	"context"
--- a/internal/serve/loadlimiter.go
+++ b/internal/serve/loadlimiter.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/figreel/figreel/internal/lease"
-	"github.com/figreel/figreel/internal/quota"
+	"github.com/figreel/figreel/internal/loads"
 	"github.com/figreel/figreel/internal/wire"
 	"github.com/figreel/figreel/pkg/envdoc"
 )
@@ -19,8 +19,8 @@
 	host         *Host
 	lease        *lease.Holder
 	epoch        atomic.Int64
-	limiter      *quota.Limiter
-	client       *quota.Client
+	limiter      *loads.Limiter
+	client       *loads.Client
 	campaignCtx  context.Context // ends with the host, or after a failed handover so that the lease expires
 	stopCampaign context.CancelFunc
 }
@@ -29,8 +29,8 @@
 	l := &loadLimiter{key: "weight/" + h.Config.Environment, host: h}
 	l.campaignCtx, l.stopCampaign = context.WithCancel(context.Background())
 	l.lease = h.newLease(l.key, l.key, l.onAcquired, func() {})
-	l.limiter = &quota.Limiter{Limits: l.limits, Pools: l.allPools, Valid: l.lease.Valid, Epoch: l.epoch.Load}
-	l.client = &quota.Client{
+	l.limiter = &loads.Limiter{Limits: l.limits, Pools: l.allPools, Valid: l.lease.Valid, Epoch: l.epoch.Load}
+	l.client = &loads.Client{
 		Dialer: h.endpoint, Addr: l.limiterAddr, Limits: l.limits, Pools: l.allPools, Owned: l.ownedPools,
 	}
 	return l
