--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -32,6 +32,18 @@
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
 		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
 		Memory        int64         // memory that the process may use, in bytes; 0 if it is unknown
+		// RevokeTime is the time from a change of the configuration that removes a key until no call that was sent with
+		// it may be executed, also by hosts that the change has not reached; 0 if only the others are bound.
+		RevokeTime time.Duration
+		Quota      QuotaBounds
+	}
+
+	// QuotaBounds is by how much the calls of a workspace may exceed its quota in any window: Overage is a share of
+	// the quota, Slack counts in its units.
+	QuotaBounds struct {
+		Window  time.Duration
+		Overage float64
+		Slack   float64
 	}
 
 	// Platform gives access to the platform and decodes its data; all fields are set before use.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -81,6 +81,10 @@
 		Software string `cbor:"14,keyasint,omitempty"`
 		// Resumable is set if the stream can be taken up.
 		Resumable bool `cbor:"15,keyasint,omitempty"`
+		// Workspace is the workspace whose key the caller has sent, or empty. Cost is what the call counts as in its
+		// quota.
+		Workspace string  `cbor:"16,keyasint,omitempty"`
+		Cost      float64 `cbor:"17,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
--- a/internal/topo/types.go
+++ b/internal/topo/types.go
@@ -24,6 +24,8 @@
 		Routes   []Route
 		Services map[string]Service
 		Limits   Limits
+		// Workspaces are the tenants; nil means that calls need no key.
+		Workspaces []Workspace
 	}
 
 	// Route maps calls of a host name and path prefix to services.
@@ -40,6 +42,7 @@
 		TrafficSplit  []WeightedService
 		MaxAttempts   int
 		Resumable     bool // streams may be retried
+		Public        bool // calls need no key
 	}
 
 	// WeightedService is a service of a route's traffic split; its weight is relative to the sum of all weights.
