Send details of upstreams to followers every five seconds only

Cause: entries of engines change with each adapter order, about once a second each. Two watch sources sent every change to every host, although only a host that schedules calls uses what is resident on engines. Change: a request for changes says whether details are wanted. Hosts with a leader want them every five seconds, the leader and hosts that decide alone at once. Changes of what routing needs (departures, restarts, addresses, software versions) are sent at once as before. A watch of the store resumes at the revision of the details. Result: TestDetailsOfUpstreams; tests of internal/host pass with the race detector.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -57,6 +57,8 @@
 	elector  *elect.Elector
 	onChange func()
 	limits   ageLimits
+	// schedules reports whether this host schedules calls; nil means that it always does.
+	schedules func() bool
 	// now returns the boot time, which includes the time for which the machine is suspended.
 	now func() time.Duration
 
@@ -86,10 +88,13 @@
 	suspects       map[string]time.Time // entries that are not in use because they may be older, and until when
 	deletions      []store.Event        // the newest deletions, oldest first
 	deletionsSince int64                // revision of the current era since which deletions is complete
-	version        store.Version        // version of the store as of which items is complete
+	version        store.Version        // version of the store as of which items is complete, but for details
+	detailRevision int64                // revision as of which it is complete with them, at most that of version
+	detailsAt      time.Duration        // boot time at which details last arrived
+	routedAt       map[string]int64     // revision at which an item last changed in more than details
 	confirmedAt    time.Duration        // boot time as of which items is complete, 0 before the first list
 	sent           link.PrefixState     // the changes that were last sent to another host
-	sentSince      store.Version        // version since which they are
+	sentFor        sentRequest          // request to which they were sent
 	failures       int                  // consecutive failed calls for this prefix
 	unreachable    bool                 // the last calls for this prefix failed
 }
@@ -107,7 +112,7 @@
 	for _, prefix := range sc.prefixes() {
 		sc.states[prefix] = &prefixState{
 			prefix: prefix, items: make(map[string]store.Item), graceUntil: make(map[string]time.Time),
-			suspects: make(map[string]time.Time),
+			suspects: make(map[string]time.Time), routedAt: make(map[string]int64),
 		}
 	}
 	return sc
@@ -219,7 +224,9 @@
 		return err
 	}
 	sc.markReachable(prefix)
-	sc.replace(link.PrefixState{Prefix: prefix, Revision: as.Revision, Era: as.Era, Items: items}, originStore)
+	sc.replace(link.PrefixState{
+		Prefix: prefix, Revision: as.Revision, Era: as.Era, Items: items, DetailRevision: as.Revision,
+	}, originStore)
 	sc.confirm(prefix, start)
 	return nil
 }
@@ -228,7 +235,8 @@
 	sc.mu.Lock()
 	start := sc.now()
 	p := sc.states[prefix]
-	after, wait := p.version, maxWatchWait
+	// Details that are older than the rest are read with the changes.
+	after, wait := store.Version{Era: p.version.Era, Revision: p.detailRevision}, maxWatchWait
 	if prefix == sc.platform.UpstreamPrefix {
 		wait = max(p.confirmedAt+sc.limits.Confirm-start, minWatchWait)
 	}
@@ -244,7 +252,9 @@
 	if as.Era != after.Era {
 		return store.ErrRestored
 	}
-	sc.apply(prefix, events, as, originStore)
+	sc.apply(link.PrefixState{
+		Prefix: prefix, Revision: as.Revision, Era: as.Era, Delta: true, Events: events, DetailRevision: as.Revision,
+	}, originStore)
 	// The response may have been read late.
 	sc.confirm(prefix, min(sc.now(), start+wait))
 	if len(events) > 0 && prefix != sc.platform.ConfigPrefix {
@@ -345,7 +355,11 @@
 		}
 		sc.put(p, key, it, from)
 	}
+	if restored {
+		p.detailRevision = 0
+	}
 	p.version = l.Version()
+	sc.addDetails(p, &l)
 	sc.notify()
 	sc.mu.Unlock()
 	if l.Prefix == elect.Prefix {
@@ -355,28 +369,31 @@
 }
 
 // apply applies changes up to a version, except those that the cache has.
-func (sc *storeCache) apply(prefix string, events []store.Event, as store.Version, via string) {
-	if sc.applyEvents(prefix, events, as, via) {
+func (sc *storeCache) apply(l link.PrefixState, via string) {
+	if sc.applyEvents(&l, via) {
 		sc.onChange()
 	}
 }
 
 // applyEvents is apply without the call of onChange; it reports whether there were any changes.
-func (sc *storeCache) applyEvents(prefix string, events []store.Event, as store.Version, via string) bool {
+func (sc *storeCache) applyEvents(l *link.PrefixState, via string) bool {
 	sc.delivery.Lock()
 	defer sc.delivery.Unlock()
 	sc.mu.Lock()
-	p := sc.states[prefix]
-	if p == nil || as.Era != p.version.Era {
+	p := sc.states[l.Prefix]
+	if p == nil || l.Era != p.version.Era {
 		sc.mu.Unlock()
 		return false
 	}
 	known := p.version.Revision
-	changes := slices.DeleteFunc(slices.Clone(events), func(e store.Event) bool { return e.Revision <= known })
-	if len(changes) < len(events) {
+	changes := slices.DeleteFunc(slices.Clone(l.Events), func(e store.Event) bool {
+		return e.Revision <= known && !p.addsDetails(&e)
+	})
+	if len(changes) < len(l.Events) {
 		sc.stats.CountEvent("old_changes_dropped")
 	}
-	if as.Revision <= known && len(changes) == 0 {
+	sc.addDetails(p, l)
+	if l.Revision <= known && len(changes) == 0 {
 		sc.mu.Unlock()
 		return false
 	}
@@ -388,11 +405,11 @@
 		}
 		sc.put(p, e.Key, e.Item, from)
 	}
-	p.version.Revision = max(p.version.Revision, as.Revision)
+	p.version.Revision = max(known, l.Revision)
 	sc.notify()
 	sc.mu.Unlock()
-	if prefix == elect.Prefix && len(changes) > 0 {
-		sc.elector.Apply(as.Era, changes)
+	if l.Prefix == elect.Prefix && len(changes) > 0 {
+		sc.elector.Apply(l.Era, changes)
 	}
 	return len(changes) > 0
 }
@@ -414,13 +431,18 @@
 
 // put stores a new item and puts it into use.
 func (sc *storeCache) put(p *prefixState, key string, it store.Item, from origin) {
-	if old, ok := p.items[key]; ok && old.Revision == it.Revision {
+	old, ok := p.items[key]
+	if ok && old.Revision >= it.Revision {
 		return
 	}
 	p.items[key] = it
 	delete(p.graceUntil, key)
 	delete(p.suspects, key)
+	before := sc.upstreams[key]
 	sc.use(p, key, it, from)
+	if !ok || !sameRouting(before, sc.upstreams[key]) {
+		p.routedAt[key] = it.Revision
+	}
 }
 
 // use decodes an item and puts it into use. An invalid configuration or host registration leaves the previous one in
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -21,7 +21,8 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// testPlatform returns a platform whose configurations are version numbers and whose upstreams look like "svc ready".
+// testPlatform returns a platform whose configurations are version numbers and whose upstreams look like "svc ready", with
+// the resident models after it.
 func testPlatform(s store.Store) *Platform {
 	return &Platform{
 		Store: s, ConfigPrefix: "conf/", UpstreamPrefix: "up/",
@@ -30,12 +31,15 @@
 			return &topo.Config{Version: n}, err
 		},
 		Upstream: func(it store.Item) (*topo.Upstream, error) {
-			service, state, ok := strings.Cut(string(it.Value), " ")
-			if !ok {
+			words := strings.Fields(string(it.Value))
+			if len(words) < 2 {
 				return nil, errors.New("not an upstream")
 			}
-			id := strings.TrimPrefix(it.Key, "up/")
-			return &topo.Upstream{ID: id, Service: service, Leaving: state == "leaving"}, nil
+			u := &topo.Upstream{ID: strings.TrimPrefix(it.Key, "up/"), Service: words[0], Leaving: words[1] == "leaving"}
+			for _, model := range words[2:] {
+				u.Models = append(u.Models, topo.Resident{Name: model})
+			}
+			return u, nil
 		},
 	}
 }
@@ -223,7 +227,7 @@
 			for _, p := range other.states {
 				known = append(known, link.PrefixState{Prefix: p.prefix, Revision: p.version.Revision})
 			}
-			states, _, _ := sc.changes(known)
+			states, _, _, _ := sc.changes(known)
 			other.merge(states, "another host")
 		}
 		transfer()
@@ -273,7 +277,7 @@
 		if took := time.Since(start); len(states) != 1 || took > 500*time.Millisecond {
 			t.Errorf("%d states after %v", len(states), took)
 		}
-		known[0].Revision = states[0].Revision
+		known[0].Revision, known[0].DetailRevision = states[0].Revision, states[0].DetailRevision
 		if states, _ := r.waitForChanges(&link.Message{Prefixes: known, WaitMS: 100}); len(states) != 0 {
 			t.Errorf("states without a change: %+v", states)
 		}
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -7,40 +7,56 @@
 	"github.com/figreel/figreel/internal/store"
 )
 
-// changes returns the changes since the revisions in known, the boot time as of which this host's copy of the upstreams
-// is complete, and a channel that is closed at the next change.
+// changes returns the changes since the revisions in known, whether they hold more than newer revisions, the boot time as
+// of which this host's copy of the upstreams is complete, and a channel that is closed at the next change.
 func (sc *storeCache) changes(known []link.PrefixState) (
-	out []link.PrefixState, confirmedAt time.Duration, next <-chan struct{},
+	out []link.PrefixState, changed bool, confirmedAt time.Duration, next <-chan struct{},
 ) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	for _, k := range known {
 		p := sc.states[k.Prefix]
-		if p == nil || p.version.Compare(k.Version()) <= 0 {
+		if p == nil {
 			continue
 		}
-		if p.sent.Version() != p.version || p.sentSince != k.Version() {
+		behind := p.version.Compare(k.Version()) > 0
+		if !behind && (!k.WantsDetails || k.Era != p.version.Era || p.detailRevision <= k.DetailRevision) {
+			continue
+		}
+		if !k.WantsDetails {
+			k.DetailRevision = 0
+		}
+		if p.sent.Version() != p.version || p.sentFor != sentKey(&k) {
 			// Most hosts ask for the same changes.
-			p.sent, p.sentSince = p.changesSince(k.Version()), k.Version()
+			p.sent, p.sentFor = p.changesSince(&k), sentKey(&k)
 		}
 		out = append(out, p.sent)
+		changed = changed || len(p.sent.Events) > 0 || !p.sent.Delta
 	}
-	return out, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
+	return out, changed, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
 }
 
-// changesSince returns the changes of the prefix since a version, or all items if that is of another era or the
+// sentKey returns what decides about the response to a request for the changes of a prefix.
+func sentKey(k *link.PrefixState) sentRequest {
+	return sentRequest{since: k.Version(), details: k.WantsDetails, detailsSince: k.DetailRevision}
+}
+
+// changesSince returns the changes of the prefix that a host lacks, or all items if its version is of another era or the
 // deletions since then are not known any more.
-func (p *prefixState) changesSince(v store.Version) link.PrefixState {
-	revision := v.Revision
+func (p *prefixState) changesSince(k *link.PrefixState) link.PrefixState {
+	revision := k.Revision
 	l := link.PrefixState{
 		Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era,
-		Delta: v.Era == p.version.Era && revision >= p.deletionsSince && revision > 0,
+		Delta: k.Era == p.version.Era && revision >= p.deletionsSince && revision > 0,
+	}
+	if k.WantsDetails || !l.Delta {
+		l.DetailRevision = p.detailRevision
 	}
-	for _, it := range p.items {
+	for key, it := range p.items {
 		switch {
 		case !l.Delta:
 			l.Items = append(l.Items, it)
-		case it.Revision > revision:
+		case p.routedAt[key] > revision, k.WantsDetails && it.Revision > k.DetailRevision:
 			l.Events = append(l.Events, store.Event{Item: it})
 		}
 	}
@@ -59,7 +75,7 @@
 func (sc *storeCache) merge(states []link.PrefixState, via string) {
 	for _, l := range states {
 		if l.Delta {
-			sc.apply(l.Prefix, l.Events, l.Version(), via)
+			sc.apply(l, via)
 		} else {
 			sc.replace(l, via)
 		}
@@ -70,12 +86,17 @@
 // configuration is included only while the store is unreachable, because every host watches it: it is too large to be
 // sent to a whole fleet by a few hosts.
 func (sc *storeCache) knownRevisions() []link.PrefixState {
+	// The scheduler reads the upstreams while it is locked, so it is asked before the copy is locked.
+	schedules := sc.schedulesCalls()
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	out := make([]link.PrefixState, 0, len(sc.states))
 	for _, p := range sc.states {
 		if p.prefix != sc.platform.ConfigPrefix || p.unreachable {
-			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era})
+			out = append(out, link.PrefixState{
+				Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era, DetailRevision: p.detailRevision,
+				WantsDetails: sc.wantsDetails(p, schedules),
+			})
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/host/details_test.go
@@ -0,0 +1,72 @@
+package host
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/figreel/figreel/internal/topo"
+)
+
+// Guards against details of upstreams that are sent to a whole fleet with each change, against a departure that waits
+// for them, and against a host that loses its leader and decides by details that are seconds old.
+func TestDetailsOfUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, 9)
+		watching := f.watchers()
+		var follower *fleetHost
+		var alone atomic.Bool
+		for _, h := range f.hosts {
+			if h != watching[0] && h != watching[1] && !h.cache.elector.IsLeader() {
+				follower = h
+			}
+		}
+		follower.cache.schedules = alone.Load
+		resident := func() bool { return upstreamOf(follower, "e1").HasModel("m1") }
+		details := func() int64 {
+			follower.cache.mu.Lock()
+			defer follower.cache.mu.Unlock()
+			return follower.cache.states["up/"].detailRevision
+		}
+		for before := details(); details() == before; {
+			f.store.Set("up/e2", "llm ready m2")
+			time.Sleep(roleInterval)
+		}
+		f.store.Set("up/e1", "llm ready m1")
+		time.Sleep(2 * time.Second)
+		if resident() {
+			t.Error("a host with a leader got details at once")
+		}
+		f.store.Set("up/e2", "llm leaving m2")
+		time.Sleep(time.Second)
+		if u := upstreamOf(follower, "e2"); !u.Leaving {
+			t.Error("a departure did not arrive within a second")
+		}
+		alone.Store(true)
+		time.Sleep(2 * roleInterval)
+		if !resident() {
+			t.Error("a host without a leader lacks details")
+		}
+		alone.Store(false)
+		f.store.Set("up/e1", "llm ready")
+		time.Sleep(detailsInterval + 2*time.Second)
+		if resident() {
+			t.Error("details did not arrive within their interval")
+		}
+		cancel()
+		time.Sleep(15 * time.Second)
+	})
+}
+
+// upstreamOf returns what a host knows of an upstream.
+func upstreamOf(h *fleetHost, id string) *topo.Upstream {
+	for _, u := range h.cache.Upstreams("") {
+		if u.ID == id {
+			return u
+		}
+	}
+	return &topo.Upstream{}
+}
--- a/internal/host/grace.go
+++ b/internal/host/grace.go
@@ -41,6 +41,7 @@
 	now time.Time, p *prefixState, key string, revision int64, from origin, restored bool,
 ) {
 	delete(p.items, key)
+	delete(p.routedAt, key)
 	delete(p.suspects, key)
 	p.deletions = append(p.deletions, store.Event{Item: store.Item{Key: key, Revision: revision}, Deleted: true})
 	if n := len(p.deletions) - maxDeletions; n > 0 {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -101,9 +102,10 @@
 	following := make(map[string]context.CancelFunc)
 	lastFetch := time.Time{}
 	var promises promiseRound
-	fetches := 0
+	fetches, scheduled := 0, true
 	for clock.Sleep(ctx, roleInterval) {
 		r.cache.expireGrace(time.Now())
+		schedules := r.cache.schedulesCalls()
 		leader, _ := r.elector.Leader()
 		r.mu.Lock()
 		r.updateHosts()
@@ -115,6 +117,11 @@
 		for _, o := range probes {
 			go r.probeSource(ctx, o)
 		}
+		if schedules && !scheduled && len(list) > 0 {
+			// The request that waits at a source asks for no details.
+			go r.fetchFrom(ctx, list[rand.IntN(len(list))].Link)
+		}
+		scheduled = schedules
 		wanted := make(map[string]bool, len(list))
 		for _, o := range list {
 			wanted[o.Link] = true
@@ -265,10 +272,14 @@
 	for _, o := range r.otherHosts() {
 		addrs = append(addrs, o.Link)
 	}
-	if len(addrs) == 0 {
-		return
+	if len(addrs) > 0 {
+		r.fetchFrom(ctx, addrs[n%len(addrs)])
 	}
-	if err := r.fetchOnce(ctx, addrs[n%len(addrs)]); err != nil {
+}
+
+// fetchFrom is fetchOnce for a host that may not answer.
+func (r *watchRelay) fetchFrom(ctx context.Context, addr string) {
+	if err := r.fetchOnce(ctx, addr); err != nil {
 		r.stats.CountEvent("news_failed")
 	}
 }
@@ -315,16 +326,16 @@
 func (r *watchRelay) waitForChanges(m *link.Message) ([]link.PrefixState, time.Duration) {
 	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, r.cache.limits.Poll))
 	defer timer.Stop()
-	_, before, _ := r.cache.changes(nil)
+	_, _, before, _ := r.cache.changes(nil)
 	for {
-		states, confirmedAt, changed := r.cache.changes(m.Prefixes)
-		if len(states) > 0 || confirmedAt > before || r.storeUnreachable() || !r.cache.isCurrent() {
+		states, changed, confirmedAt, next := r.cache.changes(m.Prefixes)
+		if changed || confirmedAt > before || r.storeUnreachable() || !r.cache.isCurrent() {
 			return states, confirmedAt
 		}
 		select {
-		case <-changed:
+		case <-next:
 		case <-timer.C:
-			return nil, confirmedAt
+			return states, confirmedAt
 		}
 	}
 }
--- a/internal/host/restore.go
+++ b/internal/host/restore.go
@@ -39,6 +39,7 @@
 func (sc *storeCache) putCopied(now time.Time, p *prefixState, key string, it store.Item, from origin) {
 	old, known := p.items[key]
 	p.items[key] = it
+	p.routedAt[key] = it.Revision
 	delete(p.graceUntil, key)
 	switch {
 	case known && old.Revision == it.Revision && bytes.Equal(old.Value, it.Value):
