Check keys of workspaces and tell upstreams the workspace

Change: package creds finds the workspace of a key by its digest and decides on staleness. Package entry looks the key up after the request has been read and again just before each attempt; it refuses with 401, replaces the key by the header with the workspace, and sets the effective priority. Ticket requests carry the workspace and the cost of the call. Hosts do not set the revoke time yet, because the time as of which the configuration is confirmed is not sound.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -44,6 +44,10 @@
 			c.delayedBy = decision.Grant.DelayedBy
 		}
 		c.grant, c.timeToGrant = decision.Grant, time.Since(c.start)
+		if !c.checkKey() {
+			c.s.Tickets.Release(decision.Grant, sched.Canceled)
+			return
+		}
 		next, outcome := c.attemptModel(decision.Grant)
 		c.s.Tickets.Release(decision.Grant, outcome)
 		if next == completed {
@@ -74,11 +78,11 @@
 
 func (c *call) ticketRequest() sched.Request {
 	return sched.Request{
-		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.route.Priority,
+		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.priority(),
 		TargetLatency: c.route.TargetLatency, Remaining: time.Until(c.deadline), Tried: c.tried,
 		GapTarget: c.route.GapTarget, FirstEventIn: time.Until(c.firstEventDeadline()),
 		Software: c.software, TakesUp: c.takesUp, Resumes: c.r.Header.Get(c.s.Headers.Resumes),
-		Resumable: c.route.Resumable,
+		Resumable: c.route.Resumable, Workspace: c.workspaceName(), Cost: c.cost(),
 	}
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -225,6 +225,10 @@
 			c.finishUnserved(reason, max(retryAfter, defaultRetryAfter))
 			return
 		}
+		if !c.checkKey() {
+			c.s.Balancer.cancel(u.ID)
+			return
+		}
 		if c.s.Quarantine != nil && !c.s.Quarantine.Admits(&c.spec) {
 			c.s.Balancer.cancel(u.ID)
 			c.finishUnserved(sched.ReasonQuarantine, sched.QuarantineRetryAfter)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/creds"
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/notice"
@@ -35,6 +36,7 @@
 	StartCheck  StartCheck // nil if connections need no check
 	Domain      string     // failure domain of this host
 	Config      func() *topo.Config
+	Keys        *creds.Keys // nil if calls need no keys
 	Pool        *h1.Pool
 	Tickets     TicketClient
 	Quarantine  Quarantine // nil if there is none
@@ -86,6 +88,8 @@
 	id               string
 	route            *topo.Route
 	service          string
+	workspace        *topo.Workspace // workspace of the caller's key, or nil
+	keyed            bool            // the configuration has workspaces
 	spec             topo.CallSpec
 	body             []byte
 	request          mem.Share // what is held of the request
@@ -200,7 +204,7 @@
 		c.reject(reasonStopping, 0)
 		return false
 	}
-	return c.prepare(cfg)
+	return c.checkKey() && c.prepare(cfg)
 }
 
 func (c *call) readBody(limit int64) bool {
@@ -267,8 +271,9 @@
 	h.Set(c.s.Headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	h.Set(c.s.Headers.Instance, id)
 	if c.spec.Model != "" {
-		h.Set(c.s.Headers.Priority, strconv.Itoa(min(c.route.Priority, maxPriority)))
+		c.setPriority(h)
 	}
+	c.setWorkspace(h)
 	if c.lastEventID != "" {
 		h.Set(c.s.Headers.LastEventID, c.lastEventID)
 	}
@@ -277,9 +282,6 @@
 	}
 }
 
-// maxPriority is the least urgent priority that engines accept.
-const maxPriority = 9
-
 // reject responds that the call has not been executed, and after what delay the caller may retry.
 func (c *call) reject(reason string, delay time.Duration) {
 	c.s.Stats.CountRejection(reason)
@@ -331,6 +333,9 @@
 	if c.route != nil {
 		e = e.Str("route", c.route.Name)
 	}
+	if c.workspace != nil {
+		e = e.Str("workspace", c.workspace.Name)
+	}
 	if c.spec.Model != "" {
 		e = e.Str("model", c.spec.Model).Str("adapter", c.spec.Adapter).Int("prompt", c.spec.PromptTokens)
 	}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -54,6 +54,8 @@
 		LastEventID string // id of the last event that the caller has, to resume a stream
 		Resumes     string // id of the attempt that brought the first event of that stream
 		Priority    string
+		Key         string // credentials of the caller
+		Workspace   string // workspace of the caller, set by hosts
 		RetryAfter  string
 		HostOnly    []string // headers that only hosts may set
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -142,7 +142,7 @@
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
-		Domain: s.Domain, Config: h.cache.Config,
+		Domain: s.Domain, Config: h.cache.Config, Keys: h.keys(),
 		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
--- a/internal/topo/demand.go
+++ b/internal/topo/demand.go
@@ -12,6 +12,7 @@
 		Adapter      string          `cbor:"2,keyasint,omitempty"`
 		PromptTokens int             `cbor:"3,keyasint"`
 		OutputTokens int             `cbor:"4,keyasint"` // expected number, at most the limit that the caller set
+		StatedOutput int             `cbor:"-"`          // output tokens that the caller has stated
 		Segments     []PromptSegment `cbor:"5,keyasint,omitempty"`
 		// Request identifies what the caller asks for: it is the same if the same request comes again. 0 is unknown.
 		Request uint64 `cbor:"6,keyasint,omitempty"`
