Refuse keyed calls on a configuration that is not confirmed

Cause: a host that is cut off or was suspended does not learn that a key has been removed, and would go on accepting it. Change: package fresh keeps the time as of which the configuration is known to be complete. Responses of the store confirm it as of the time the call was sent, full waits without a change as of their end, and watch sources confirm it to the others with the changes of the store. A host that is behind fetches the change from the source. Hosts set the revoke time, and publish the age of the configuration as a gauge. With the check of the other host's version removed, TestConfirmedConfigurationIsComplete fails; with the old rule for watch calls, TestConfirmations does.

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/elect"
+	"github.com/figreel/figreel/internal/fresh"
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/store"
@@ -57,6 +59,9 @@
 	elector  *elect.Elector
 	onChange func()
 	limits   ageLimits
+	age      *fresh.Copy // of the configuration
+	// isSource reports whether this host watches the store for others; nil reports false.
+	isSource func() bool
 	// now returns the boot time, which includes the time for which the machine is suspended.
 	now func() time.Duration
 
@@ -102,7 +107,7 @@
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host),
 		lapsed: make(map[string]time.Duration), ended: make(map[string]endedUpstream),
 		nextChange: make(chan struct{}), retryNow: make(chan struct{}),
-		now: clock.SinceBoot,
+		now: clock.SinceBoot, age: &fresh.Copy{Place: rand.Float64()},
 	}
 	for _, prefix := range sc.prefixes() {
 		sc.states[prefix] = &prefixState{
@@ -221,10 +226,14 @@
 	sc.markReachable(prefix)
 	sc.replace(link.PrefixState{Prefix: prefix, Revision: as.Revision, Era: as.Era, Items: items}, originStore)
 	sc.confirm(prefix, start)
+	if prefix == sc.platform.ConfigPrefix {
+		sc.age.NoteList(start)
+	}
 	return nil
 }
 
 func (sc *storeCache) watch(ctx context.Context, prefix string) error {
+	confirms := prefix == sc.platform.ConfigPrefix && sc.confirmsConfig()
 	sc.mu.Lock()
 	start := sc.now()
 	p := sc.states[prefix]
@@ -232,11 +241,17 @@
 	if prefix == sc.platform.UpstreamPrefix {
 		wait = max(p.confirmedAt+sc.limits.Confirm-start, minWatchWait)
 	}
+	if confirms {
+		wait = sc.age.Wait(start)
+	}
 	if p.failures > 0 {
 		wait = probeWait
 	}
 	sc.mu.Unlock()
-	events, as, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
+	events, as, err := sc.callWatch(ctx, prefix, after, wait)
+	if errors.Is(err, fresh.ErrConfirmNow) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -247,6 +262,9 @@
 	sc.apply(prefix, events, as, originStore)
 	// The response may have been read late.
 	sc.confirm(prefix, min(sc.now(), start+wait))
+	if prefix == sc.platform.ConfigPrefix {
+		sc.age.NoteWatch(start, sc.now(), wait, len(events) > 0)
+	}
 	if len(events) > 0 && prefix != sc.platform.ConfigPrefix {
 		clock.Sleep(ctx, batchDelay)
 	}
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -67,14 +67,14 @@
 }
 
 // knownRevisions returns the cached revisions of the prefixes whose changes other hosts should send. The prefix of the
-// configuration is included only while the store is unreachable, because every host watches it: it is too large to be
-// sent to a whole fleet by a few hosts.
+// configuration is included only while the store is unreachable or another host has a newer one, because every host
+// watches it: it is too large to be sent to a whole fleet by a few hosts.
 func (sc *storeCache) knownRevisions() []link.PrefixState {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	out := make([]link.PrefixState, 0, len(sc.states))
 	for _, p := range sc.states {
-		if p.prefix != sc.platform.ConfigPrefix || p.unreachable {
+		if p.prefix != sc.platform.ConfigPrefix || p.unreachable || sc.age.Behind(p.version) {
 			out = append(out, link.PrefixState{Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era})
 		}
 	}
--- a/internal/host/confirm.go
+++ b/internal/host/confirm.go
@@ -1,19 +1,21 @@
 package host
 
 import (
+	"context"
 	"time"
 
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/creds"
+	"github.com/figreel/figreel/internal/store"
 )
 
 // keys returns what finds the workspaces of callers.
 func (h *Host) keys() *creds.Keys {
 	h.Stats.SetGaugeFunc("configuration_age_ms", func() int64 {
-		return (clock.SinceBoot() - h.cache.configConfirmedAt()).Milliseconds()
+		return (clock.SinceBoot() - h.cache.age.ConfirmedAt()).Milliseconds()
 	})
 	return &creds.Keys{
-		Config: h.cache.Config, ConfirmedAt: h.cache.configConfirmedAt,
+		Config: h.cache.Config, RevokeTime: h.Settings.RevokeTime, ConfirmedAt: h.cache.age.ConfirmedAt,
 		Now: clock.SinceBoot, Shared: func(version int64, keys int, owner, other string) {
 			h.Log.Warn().Int64("version", version).Int("keys", keys).Str("owner", owner).Str("other", other).
 				Msg("several workspaces have the same keys")
@@ -21,9 +23,62 @@
 	}
 }
 
-// configConfirmedAt returns the boot time as of which the configuration is complete, 0 before the first list.
-func (sc *storeCache) configConfirmedAt() time.Duration {
+// setRevokeTime sets the time from the removal of a key until it must not be accepted; 0 sets none.
+func (sc *storeCache) setRevokeTime(d time.Duration) {
+	if sc.age.RevokeTime = d; sc.age.Enabled() {
+		sc.limits.Poll = min(sc.limits.Poll, sc.age.MaxWait())
+	}
+}
+
+// confirmsConfig reports whether the store must confirm the configuration to this host often, because this host
+// confirms it to others or no other host confirms it.
+func (sc *storeCache) confirmsConfig() bool {
+	return sc.age.Enabled() && (sc.age.Lapsed(sc.now()) || sc.isSource != nil && sc.isSource())
+}
+
+// callWatch makes a watch call. One for the configuration with a long wait ends with fresh.ErrConfirmNow when the store
+// must confirm it sooner.
+func (sc *storeCache) callWatch(
+	ctx context.Context, prefix string, after store.Version, wait time.Duration,
+) ([]store.Event, store.Version, error) {
+	if prefix != sc.platform.ConfigPrefix || !sc.age.Enabled() || wait <= sc.age.MaxWait() {
+		return sc.platform.Store.Watch(ctx, prefix, after, wait)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go sc.age.EndWhen(ctx, cancel, sc.confirmsConfig)
+	events, as, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
+	if err != nil && context.Cause(ctx) != nil {
+		err = context.Cause(ctx)
+	}
+	return events, as, err
+}
+
+// configVersion returns the version of the store as of which the configuration is complete.
+func (sc *storeCache) configVersion() store.Version {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.states[sc.platform.ConfigPrefix].version
+}
+
+// newestConfig returns the version of the newest item of the configuration. Deletions do not count, because they do not
+// change the active configuration.
+func (sc *storeCache) newestConfig() store.Version {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.states[sc.platform.ConfigPrefix].confirmedAt
+	p := sc.states[sc.platform.ConfigPrefix]
+	v := store.Version{Era: p.version.Era}
+	for _, it := range p.items {
+		v.Revision = max(v.Revision, it.Revision)
+	}
+	return v
+}
+
+// isSource reports whether this host watches the store for others.
+func (r *watchRelay) isSource() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updateHosts()
+	_, isWatcher := r.sources.choose()
+	return isWatcher
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,6 +107,7 @@
 	}
 	limits := newAgeLimits(s.DrainTime)
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
+	h.cache.setRevokeTime(s.RevokeTime)
 	notices := &notice.Table{Changed: h.noticeChanged, Malformed: h.noticeMalformed}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.senders = h.cache.senderCount
@@ -125,6 +126,7 @@
 		now: clock.SinceBoot, dial: link.Dial,
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
+	h.cache.isSource = h.relay.isSource
 	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.CampaignRejected = func() { h.Stats.CountEvent("campaign_rejected") }
 	h.Stats.SetGaugeFunc("leader", func() int64 { return indicator(h.elector.IsLeader()) })
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -177,8 +177,14 @@
 	defer c.Close()
 	var outdatedSince time.Time
 	var sent notice.Position
+	lapsed := false
 	for ctx.Err() == nil {
-		if err := r.fetchChanges(ctx, c, r.cache.limits.Poll, &sent); err != nil {
+		wait, before := r.cache.limits.Poll, lapsed
+		if lapsed = r.cache.age.Lapsed(r.cache.now()); lapsed && !before {
+			// After a suspension the source confirms the configuration at once.
+			wait = 0
+		}
+		if err := r.fetchChanges(ctx, c, wait, &sent); err != nil {
 			if !errors.Is(err, errSourceLostStore) && !errors.Is(err, errSourceStale) {
 				return err
 			}
@@ -216,6 +222,7 @@
 	r.cache.merge(m.Prefixes, m.Host)
 	r.tickets.mergePoison(m.Poison, m.Host)
 	r.tickets.notices.Merge(time.Now(), m.Notices, m.Host)
+	r.cache.age.Merge(start, m.Config, r.cache.configVersion())
 	if !m.Stale {
 		r.confirm(start + time.Duration(m.ConfirmedMS)*time.Millisecond)
 	}
@@ -296,7 +303,7 @@
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
 			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
-			Poison: r.tickets.poisonState(),
+			Poison: r.tickets.poisonState(), Config: r.cache.age.State(arrived, r.cache.newestConfig),
 		}
 		response.Notices, sent = r.tickets.notices.Changes(time.Now(), sent)
 		if err := c.Send(response); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/fresh"
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
@@ -90,6 +91,8 @@
 		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
 		// FirstEvent the one that the event began.
 		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
+		// Config is the state of the sender's copy of the configuration, with Changes, or nil.
+		Config *fresh.State `cbor:"21,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
