--- a/internal/creds/creds.go
+++ b/internal/creds/creds.go
@@ -91,7 +91,7 @@
 	if k.RevokeTime <= 0 {
 		return true
 	}
-	// A suspension between the two readings makes the age too low if the clock is read last, and not otherwise.
+	// A suspension between the two readings would make the age too large if the clock were read last.
 	now := k.Now()
 	confirmedAt := k.ConfirmedAt()
 	return confirmedAt > 0 && now-confirmedAt <= time.Duration(maxAgeShare*float64(k.RevokeTime))
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -12,6 +12,8 @@
 	maxPriority = 9
 	// routePriorities is the number of priorities of routes within one priority of workspaces.
 	routePriorities = 3
+	// maxTokens bounds each number of tokens that counts in a quota.
+	maxTokens = 1 << 30
 )
 
 // checkKey finds the workspace of the call by its key in the configuration that is active now. It reports whether the
@@ -73,5 +75,7 @@
 	if c.workspace == nil {
 		return 0
 	}
-	return c.workspace.Quota.Cost(c.spec.PromptTokens, c.spec.StatedOutput, c.spec.Model == "")
+	// Numbers that are not credible must neither give units back nor overflow.
+	credible := func(n int) int { return min(max(n, 0), maxTokens) }
+	return c.workspace.Quota.Cost(credible(c.spec.PromptTokens), credible(c.spec.StatedOutput), c.spec.Model == "")
 }
