Count messages between hosts and their bytes by kind

Cause: nothing shows which messages make up the traffic between hosts, which grows faster than the fleet. Change: a host counts what it sends by kind of message, as gauges link_messages_KIND and link_bytes_KIND. Result: builds; no behaviour changes.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,6 +67,7 @@
 	reconciler    *reconciler
 	streams       *streamStore
 	entry         *entry.Server
+	traffic       link.Traffic // to other hosts
 	closeCallers  func()       // closes the server for callers and waits until that is done
 	stoppingSince atomic.Int64 // boot time of the stop signal, 0 before
 	lastCall      atomic.Int64 // boot time of the last call since the stop signal
@@ -124,7 +125,7 @@
 	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
 		self: self, cache: h.cache, elector: h.elector, tickets: h.tickets, seeds: s.Seeds, stats: h.Stats, log: h.Log,
-		now: clock.SinceBoot, dial: link.Dial,
+		now: clock.SinceBoot, dial: h.dial,
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
 	h.cache.isSource = h.relay.isSource
@@ -141,6 +142,11 @@
 		self: s.Name, elector: h.elector, cache: h.cache, tickets: h.tickets, engines: h.Platform.Engines,
 		stats: h.Stats, log: h.Log,
 	}
+	h.tickets.dial = h.dial
+	h.traffic.Each(func(kind string, messages, bytes func() int64) {
+		h.Stats.SetGaugeFunc("link_messages_"+kind, messages)
+		h.Stats.SetGaugeFunc("link_bytes_"+kind, bytes)
+	})
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
@@ -278,7 +284,7 @@
 }
 
 func (h *Host) requestStepDown(ctx context.Context, earlier elect.Leader, t elect.Term) (time.Duration, error) {
-	c, err := link.Dial(ctx, earlier.Link)
+	c, err := h.dial(ctx, earlier.Link)
 	if err != nil {
 		return 0, err
 	}
@@ -295,9 +301,19 @@
 	return time.Duration(m.LastOrderAgeMS) * time.Millisecond, nil
 }
 
+// dial connects to another host.
+func (h *Host) dial(ctx context.Context, addr string) (*link.Conn, error) {
+	c, err := link.Dial(ctx, addr)
+	if err == nil {
+		c.Traffic = &h.traffic
+	}
+	return c, err
+}
+
 // serveConn serves a connection of another host; the first message selects how.
 func (h *Host) serveConn(c *link.Conn) {
 	defer c.Close()
+	c.Traffic = &h.traffic
 	m, err := c.Receive()
 	if err != nil {
 		return
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -40,6 +40,8 @@
 	elector *elect.Elector
 	stats   *stats.Set
 	log     zerolog.Logger
+	// dial connects to another host.
+	dial func(ctx context.Context, addr string) (*link.Conn, error)
 	// departed reports whether an engine has left as far as this host knows.
 	departed func(engine string) bool
 	// loadAdapters orders adapter loads that the scheduler asks for.
@@ -78,7 +80,7 @@
 		scheduler: &sched.Scheduler{FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1},
 		replies:   make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
 		openTickets: make(map[uint64]*sched.OpenTicket), followers: make(map[string]*follower),
-		wakeCh: make(chan struct{}, 1),
+		wakeCh: make(chan struct{}, 1), dial: link.Dial,
 	}
 }
 
@@ -439,7 +441,7 @@
 func (s *ticketService) serveLeader(ctx context.Context, leader elect.Leader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c, err := link.Dial(ctx, leader.Link)
+	c, err := s.dial(ctx, leader.Link)
 	if err != nil {
 		return err
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -113,7 +113,10 @@
 
 	// Conn is a connection to another host. Several goroutines may send; only one may receive.
 	Conn struct {
-		nc  net.Conn
+		// Traffic counts what is sent; nil counts nothing. It is set before the first message.
+		Traffic *Traffic
+
+		nc  *countingConn
 		dec *cbor.Decoder
 		mu  sync.Mutex // held while a message is sent
 		enc *cbor.Encoder
@@ -156,7 +159,10 @@
 	if err := c.nc.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return errors.Wrap(err, "send to host")
 	}
-	if err := c.enc.Encode(m); err != nil {
+	before := c.nc.written
+	err := c.enc.Encode(m)
+	c.Traffic.add(m.Kind, c.nc.written-before)
+	if err != nil {
 		c.Close()
 		return errors.Wrap(err, "send to host")
 	}
@@ -190,5 +196,6 @@
 
 // NewConn returns a connection to another host over an established transport.
 func NewConn(nc net.Conn) *Conn {
-	return &Conn{nc: nc, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(nc)}
+	counted := &countingConn{Conn: nc}
+	return &Conn{nc: counted, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(counted)}
 }
