Charge calls to quotas before they are scheduled

Cause: the scheduler gets every call to an engine first, on the leader those of all hosts, but did not charge them to the quota of their workspace.

Change: Schedule charges the first attempt of a call before it decides anything, and refunds a call that is rejected or cancelled without a grant. A call beyond the quota is rejected with reason over_quota and the time until it is allowed. A request that is marked as charged, as one whose grant was not used, is not charged again.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
 )
@@ -121,6 +122,8 @@
 	Streams vers.Table
 	// LimitShare is the share of the engines' limits that the calls of this scheduler may use.
 	LimitShare float64
+	// Quota charges calls to the quotas of workspaces; nil charges nothing.
+	Quota *quota.Limiter
 
 	config       *topo.Config
 	models       map[modelKey]*topo.Model
@@ -267,9 +270,23 @@
 	}
 }
 
-// Schedule decides on a call, or queues it until Step decides.
+// Schedule decides on a call, or queues it until Step decides. Before anything else it charges the call to the quota of
+// its workspace.
 func (s *Scheduler) Schedule(now time.Time, q Request) Decision {
 	s.init()
+	charged, dec, ok := s.charge(now, &q)
+	if !ok {
+		return dec
+	}
+	dec = s.schedule(now, q, charged)
+	if dec.Kind == Rejected {
+		s.Quota.Refund(charged)
+	}
+	return dec
+}
+
+// schedule decides on a call that has been charged.
+func (s *Scheduler) schedule(now time.Time, q Request, charged quota.Receipt) Decision {
 	if s.models[q.modelKey()] == nil {
 		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
 	}
@@ -286,6 +303,7 @@
 		s.addDemand(now, &q)
 	}
 	p := newPending(now, q)
+	p.charged = charged
 	// Only the host that places models tests a quarantine, so that a fleet does not test it all at once.
 	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(&q.Spec) && s.Poison.Probe(now, &q.Spec)
 	p.prefill = s.unsharedPrefill(&q.Spec)
@@ -305,6 +323,7 @@
 			return false
 		}
 		s.leaveQueue(p)
+		s.Quota.Refund(p.charged)
 		return true
 	})
 }
@@ -336,6 +355,9 @@
 			continue
 		}
 		s.leaveQueue(p)
+		if dec.Kind == Rejected {
+			s.Quota.Refund(p.charged)
+		}
 		out = append(out, dec)
 	}
 	clear(s.waiting[len(queued):])
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -32,6 +33,8 @@
 	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began
 	// it.
 	ReasonVersionUnknown = "version_unknown"
+	// ReasonOverQuota rejects a call that the quota of its workspace does not allow yet.
+	ReasonOverQuota = "over_quota"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -85,6 +88,8 @@
 		// quota.
 		Workspace string  `cbor:"16,keyasint,omitempty"`
 		Cost      float64 `cbor:"17,keyasint,omitempty"`
+		// Charged is set if the call has been charged to the quota of its workspace.
+		Charged bool `cbor:"18,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
@@ -182,6 +187,7 @@
 		minTTFT    time.Duration // expected time to the first event on an idle engine
 		probe      bool          // the call tests a quarantine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
+		charged    quota.Receipt
 	}
 )
 
