Report plain calls to the leader and tell hosts of used-up quotas

Cause: calls to plain services do not go through the leader, so its accounts did not see them, and the schedulers of hosts did not know whether they decide as the leader or alone.

Change: hosts and leader exchange messages of kind Quota: stamps and their echoes, reports of charges, and the state of accounts. The limiter is updated before each decision with the time, the leadership and the number of hosts. A call whose grant was not used is not charged again.

Result: TestQuotaAcrossHosts. Without quotas no message is sent and no timer runs.

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -18,15 +18,18 @@
 
 // serveFollower restores the open tickets of a follower and handles its messages until the connection ends.
 func (s *ticketService) serveFollower(c *link.Conn, hello *link.Message) {
-	f := &follower{conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
+	f := &follower{host: hello.Host, conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
 	s.mu.Lock()
 	s.followers[hello.Host] = f
+	s.quota.Join(hello.Host)
+	s.quotaDue[hello.Host] = true
 	for _, t := range hello.OpenTickets {
 		s.scheduler.RestoreTicket(time.Now(), t)
 		f.tickets[t.Grant.Ticket] = true
 	}
 	s.scheduler.Streams.Learn(time.Now(), hello.Streams...)
 	s.mu.Unlock()
+	s.wakeQuota()
 	for {
 		m, err := c.Receive()
 		if err != nil {
@@ -36,6 +39,9 @@
 	}
 	s.mu.Lock()
 	f.ended = true
+	if s.followers[hello.Host] == f {
+		s.quota.Leave(hello.Host)
+	}
 	s.mu.Unlock()
 	time.AfterFunc(rejoinPeriod, func() { s.releaseFollower(hello.Host, f) })
 }
@@ -44,6 +50,8 @@
 	switch m.Kind {
 	case link.Notices:
 		s.notices.Merge(time.Now(), m.Notices, m.Host)
+	case link.Quota:
+		s.receiveQuota(f, m.Quota)
 	case link.TicketRequest:
 		if m.Request != nil {
 			s.requestFor(f, *m.Request)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,6 +111,7 @@
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
+	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
 		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
@@ -158,7 +159,7 @@
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	background := []func(context.Context){
 		h.elector.Run, h.tickets.run, h.tickets.connectLeader, h.reconciler.run, h.sweepIdle, h.relay.run,
-		h.streams.run,
+		h.streams.run, h.tickets.runQuota,
 	}
 	for _, f := range background {
 		go f(ctx)
@@ -243,7 +244,9 @@
 		h.tickets.notices.SetListed(now, ups)
 		k.SetConfig(h.cache.Config())
 		k.SetUpstreams(now, ups)
+		h.tickets.quota.SetWorkspaces(now, h.cache.Config().Workspaces)
 	})
+	h.tickets.wakeQuota()
 }
 
 func (h *Host) leadershipChanged(held bool) {
--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -57,6 +57,7 @@
 // updateLimitShare sets the share of the limits that the local scheduler uses: that of this host and of the hosts whose
 // calls it schedules. The caller holds s.mu.
 func (s *ticketService) updateLimitShare() {
+	s.updateQuota()
 	scheduled := 1
 	for _, f := range s.followers {
 		if !f.ended {
--- /dev/null
+++ b/internal/host/quotas_test.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/store/stub"
+	"github.com/figreel/figreel/internal/topo"
+)
+
+// Guards against plain calls of a follower that the leader's accounts do not see, and against a follower that goes on
+// with plain calls of a workspace that the leader knows to be exhausted.
+func TestQuotaAcrossHosts(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &stub.Store{}
+	s.Set("conf/main", "5")
+	sc := testHost(s, topo.Host{Name: "leader", Ready: true})
+	sc.elector.Rank = func(string) int { return 0 }
+	go sc.elector.Run(ctx)
+	for _, prefix := range sc.prefixes() {
+		go sc.run(ctx, prefix, func() bool { return true })
+	}
+	leader, follower := testTickets(), testTickets()
+	leader.elector, leader.self = sc.elector, "leader"
+	quotas := []topo.Workspace{{Name: "w", Quota: topo.Quota{Rate: 100, Burst: 100}}}
+	for _, h := range []*ticketService{leader, follower} {
+		h.senders = func() int { return 2 }
+		h.quota.Bounds.Slack, h.quota.Bounds.Window = 500, 8*time.Second
+		h.withScheduler(func(now time.Time, _ *sched.Scheduler) { h.quota.SetWorkspaces(now, quotas) })
+		h.wakeQuota()
+		go h.runQuota(ctx)
+	}
+	a, b := net.Pipe()
+	c := link.NewConn(b)
+	follower.mu.Lock()
+	follower.leaderConn = c
+	follower.quota.Follow("term")
+	follower.mu.Unlock()
+	go leader.serveFollower(link.NewConn(a), &link.Message{Kind: link.Hello, Host: "h1"})
+	go func() { _ = follower.readReplies(c) }()
+	deadline := time.Now().Add(30 * time.Second)
+	share := func() float64 {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return leader.quota.Share()
+	}
+	for share() < 1 {
+		if time.Now().After(deadline) {
+			t.Fatalf("the leader has a share of %.2f", share())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	begun, served := time.Now(), 0
+	for range 200 {
+		for range 10 {
+			if _, ok := follower.ChargePlain("w", 1); ok {
+				served++
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	most := 100 + 100*time.Since(begun).Seconds() + 500
+	if float64(served) > most || served < 100 {
+		t.Errorf("%d of 2000 plain calls were served, at most %.0f are allowed", served, most)
+	}
+	leader.mu.Lock()
+	defer leader.mu.Unlock()
+	leader.updateQuota()
+	if _, _, ok := leader.quota.Charge(time.Now(), "w", 90); ok {
+		t.Error("the leader's account is not charged")
+	}
+}
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -13,6 +13,7 @@
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/notice"
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
@@ -50,6 +51,8 @@
 	streams *streamStore
 	// senders returns the number of hosts that share the limits of upstreams; nil means one.
 	senders func() int
+	// quota charges calls to the quotas of workspaces. It also serves the scheduler.
+	quota *quota.Limiter
 
 	mu            sync.Mutex
 	scheduler     *sched.Scheduler
@@ -60,10 +63,13 @@
 	avoidUntil    time.Time                       // until then the leader gets no ticket requests
 	followers     map[string]*follower
 	wakeCh        chan struct{}
+	quotaDue      map[string]bool // followers that have reported charges
+	quotaCh       chan struct{}   // wakes runQuota
 }
 
 // follower is a host whose calls this host schedules.
 type follower struct {
+	host    string
 	conn    *link.Conn
 	tickets map[uint64]bool // open tickets
 	waiting map[string]bool // calls that wait in the scheduler
@@ -73,9 +79,13 @@
 func newTicketService(
 	self string, s *elect.Elector, notices *notice.Table, st *stats.Set, log zerolog.Logger,
 ) *ticketService {
+	limiter := &quota.Limiter{Self: self}
 	return &ticketService{
-		self: self, elector: s, notices: notices, stats: st, log: log,
-		scheduler: &sched.Scheduler{FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1},
+		self: self, elector: s, notices: notices, stats: st, log: log, quota: limiter,
+		scheduler: &sched.Scheduler{
+			FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1, Quota: limiter,
+		},
+		quotaDue: make(map[string]bool), quotaCh: make(chan struct{}, 1),
 		replies:   make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
 		openTickets: make(map[uint64]*sched.OpenTicket), followers: make(map[string]*follower),
 		wakeCh: make(chan struct{}, 1),
@@ -114,6 +124,7 @@
 		if ok || err != nil {
 			return decision, err
 		}
+		req.Charged = decision.Kind == sched.Granted
 		s.stats.CountEvent("local_decision")
 	}
 	for {
@@ -125,6 +136,7 @@
 			return decision, err
 		}
 		s.Release(decision.Grant, sched.Canceled)
+		req.Charged = true
 	}
 }
 
@@ -307,7 +319,7 @@
 }
 
 // requestRemote requests a ticket from the leader; the bool is false if the leader does not reply or this host knows
-// better than to use its grant.
+// better than to use its grant. In that case the decision is Granted, because the leader has charged the call.
 func (s *ticketService) requestRemote(ctx context.Context, leader *link.Conn, req sched.Request) (
 	sched.Decision, bool, error,
 ) {
@@ -342,7 +354,7 @@
 			returned = true
 			if decision.Kind == sched.Granted && !s.isUsable(&req, decision.Grant) {
 				s.releaseAtLeader(leader, decision.Grant)
-				return sched.Decision{}, false, nil
+				return sched.Decision{Kind: sched.Granted}, false, nil
 			}
 			s.restore(req, decision)
 			return decision, true, nil
@@ -459,10 +471,12 @@
 	}
 	s.mu.Lock()
 	s.leaderConn, s.avoidUntil = c, time.Time{}
+	s.quota.Follow(leader.Nonce)
 	s.mu.Unlock()
 	err = s.readReplies(c)
 	s.mu.Lock()
 	s.leaderConn = nil
+	s.quota.Unfollow(clock.SinceBoot(), link.ClosedByPeer(err))
 	for call, reply := range s.remoteReplies {
 		close(reply)
 		delete(s.remoteReplies, call)
@@ -477,6 +491,10 @@
 		if err != nil {
 			return err
 		}
+		if m.Kind == link.Quota {
+			s.receiveQuota(nil, m.Quota)
+			continue
+		}
 		if m.Kind != link.Reply || m.Decision == nil {
 			continue
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +14,7 @@
 	"github.com/figreel/figreel/internal/h1"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
@@ -52,6 +55,8 @@
 	Promised
 	// Refused is the response of a host that has seen the lease of that leader end.
 	Refused
+	// Quota tells the leader what plain calls of workspaces have used, and a follower which quotas are used up.
+	Quota
 )
 
 type (
@@ -90,6 +95,8 @@
 		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
 		// FirstEvent the one that the event began.
 		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
+		// Quota is what Quota tells.
+		Quota *quota.Message `cbor:"21,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
@@ -177,6 +184,11 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
+// ClosedByPeer reports whether a connection has ended because the other process closed it or ended.
+func ClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Version returns the version of the state.
 func (s *PrefixState) Version() store.Version { return store.Version{Era: s.Era, Revision: s.Revision} }
 
--- a/internal/quota/exhaustion.go
+++ b/internal/quota/exhaustion.go
@@ -12,17 +12,6 @@
 )
 
 type (
-	// Change says that a workspace has become exhausted at a host, or that this has ended.
-	Change struct {
-		Workspace string
-		Exhausted bool
-		Leads     bool // the host decides as the leader
-		Alone     bool // the host decides without a leader
-		Rate      float64
-		Refused   int           // calls refused until the end
-		Took      time.Duration // from the first refusal to the last
-	}
-
 	// exhaustion keeps which workspaces have been refused calls.
 	exhaustion struct {
 		spells map[string]*spell
@@ -49,8 +38,8 @@
 	}
 	sp.last = now
 	sp.refused++
-	if l.Refused != nil {
-		l.Refused(e.label(workspace))
+	if l.Count != nil {
+		l.Count("over_quota/" + e.label(workspace))
 	}
 }
 
@@ -64,18 +53,23 @@
 	}
 }
 
-// Exhausted returns the number of workspaces that are exhausted at this host.
-func (l *Limiter) Exhausted() int { return len(l.exhaustion.spells) }
-
+// change logs that a workspace has become exhausted, or that this has ended.
 func (l *Limiter) change(workspace string, exhausted bool, sp *spell) {
-	if l.Changed == nil {
+	line := l.Log.Info().Str("workspace", workspace).Bool("leads", l.leader != nil).
+		Bool("alone", l.leader == nil && !l.part.since.IsZero()).Float64("rate", l.quotas[workspace].Rate)
+	if exhausted {
+		line.Msg("quota exhausted")
 		return
 	}
-	l.Changed(Change{
-		Workspace: workspace, Exhausted: exhausted, Leads: l.leader != nil,
-		Alone: l.leader == nil && !l.part.since.IsZero(), Rate: l.quotas[workspace].Rate,
-		Refused: sp.refused, Took: sp.last.Sub(sp.since),
-	})
+	line.Int("refused", sp.refused).Dur("took_ms", sp.last.Sub(sp.since)).Msg("quota not exhausted any more")
+}
+
+// Gauges returns the metrics of the limiter by name.
+func (l *Limiter) Gauges() map[string]func() int64 {
+	return map[string]func() int64{
+		"quotas_exhausted":     func() int64 { return int64(len(l.exhaustion.spells)) },
+		"quota_share_permille": func() int64 { return int64(1000 * l.Share()) },
+	}
 }
 
 // label returns the label of a workspace for metrics.
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -48,7 +48,7 @@
 		leader   *node
 		leaseEnd time.Duration
 		terms    int
-		names    []string
+		names    []topo.Host
 		space    topo.Workspace
 		packets  []packet
 		uses     []use   // calls that were executed
@@ -91,8 +91,8 @@
 	f := &fleet{bounds: b, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Minute}
 	f.space = topo.Workspace{Name: "hot", Quota: topo.Quota{Rate: rate, Burst: rate, InTokens: true, PlainTokens: plain}}
 	for i := range fleetSize {
-		f.names = append(f.names, fmt.Sprint("host-", i))
-		n := &node{name: f.names[i]}
+		f.names = append(f.names, topo.Host{Name: fmt.Sprint("host-", i)})
+		n := &node{name: f.names[i].Name}
 		f.nodes = append(f.nodes, n)
 		f.boot(n)
 	}
@@ -100,7 +100,7 @@
 }
 
 func (f *fleet) boot(n *node) {
-	n.lim = &quota.Limiter{Self: n.name, Bounds: f.bounds, Hosts: func() []string { return f.names }}
+	n.lim = &quota.Limiter{Self: n.name, Bounds: f.bounds, Hosts: func() []topo.Host { return f.names }}
 	n.to, n.known = nil, f.space
 	n.lim.SetWorkspaces(f.mono(n), []topo.Workspace{n.known})
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/figreel/figreel/internal/rendez"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -23,13 +25,13 @@
 	Limiter struct {
 		Self   string
 		Bounds Bounds
-		// Hosts returns the names of the registered hosts.
-		Hosts func() []string
-		// Changed is called when a workspace becomes exhausted at this host and when that has ended; nil does nothing.
-		Changed func(Change)
-		// Refused is called for each refused call with a label for the workspace; nil does nothing.
-		Refused func(label string)
+		// Hosts returns the registered hosts.
+		Hosts func() []topo.Host
+		Log   zerolog.Logger
+		// Count counts an event; nil does nothing.
+		Count func(event string)
 
+		list       []topo.Workspace // active configuration
 		quotas     map[string]topo.Quota
 		boot       time.Duration // at the last update
 		hosts      float64       // hosts that may be sending calls
@@ -60,10 +62,11 @@
 
 // SetWorkspaces applies a new configuration.
 func (l *Limiter) SetWorkspaces(now time.Time, list []topo.Workspace) {
-	if len(list) == 0 && l.quotas == nil {
+	if len(list) == 0 && l.quotas == nil || len(list) > 0 && len(list) == len(l.list) && &list[0] == &l.list[0] {
 		return
 	}
 	l.init()
+	l.list = list
 	quotas := make(map[string]topo.Quota)
 	for i := range list {
 		if w := &list[i]; w.Quota.Limited() {
@@ -285,7 +288,7 @@
 		return nil
 	}
 	mayLend := l.boot >= l.freeAt || l.lentTo == "" || l.lentTo == l.following
-	m := l.view.report(now, mayLend, l.view.interval(l.quotas, l.hosts))
+	m := l.view.report(now, mayLend, l.view.interval(&l.Bounds, l.quotas, l.hosts))
 	if m != nil && m.Stamp > 0 {
 		if !l.part.since.IsZero() {
 			l.part.since = time.Time{}
@@ -317,6 +320,9 @@
 	}
 	for _, c := range f.receive(now, l.boot, l.termBoot, m) {
 		l.leader.debit(now, c.Workspace, float64(c.Units))
+		q := l.quotas[c.Workspace]
+		f.wantsAck = f.wantsAck || f.told[c.Workspace].scarce ||
+			float64(c.Units) > smallReport*plentyLimit(&l.Bounds, &q)
 	}
 	if m.Stamp > 0 {
 		l.shareAt = 0
@@ -347,12 +353,13 @@
 	if n, ok := l.ranks[workspace]; ok {
 		return n
 	}
-	var names []string
+	names := []string{l.Self}
 	if l.Hosts != nil {
-		names = l.Hosts()
-	}
-	if !slices.Contains(names, l.Self) {
-		names = append(slices.Clone(names), l.Self)
+		for _, h := range l.Hosts() {
+			if h.Name != l.Self {
+				names = append(names, h.Name)
+			}
+		}
 	}
 	n := slices.Index(rendez.Rank(workspace, names), l.Self)
 	l.ranks[workspace] = n
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -24,9 +24,9 @@
 type member struct {
 	stamp    int64 // newest stamp that it has echoed, 0 if there is none
 	sequence uint64
-	acked    uint64 // newest report that was acknowledged
 	stampAt  time.Duration
 	pushedAt time.Time
+	wantsAck bool                 // it needs an acknowledgement before the next stamp
 	released bool                 // it has been told that this host does not lead
 	reported map[string]time.Time // when it last reported charges of a workspace
 	told     map[string]told
@@ -63,30 +63,16 @@
 	if stampDue || now.Sub(f.pushedAt) >= pushInterval {
 		m.Standings = f.changes(now, s)
 	}
-	if !stampDue && len(m.Standings) == 0 && !f.awaitsAck(now) {
+	if ack := f.wantsAck && now.Sub(f.pushedAt) >= pushInterval; !stampDue && len(m.Standings) == 0 && !ack {
 		return nil
 	}
 	if stampDue {
 		m.Stamp, f.stampAt = int64(boot), boot
 	}
-	m.Sequence, f.acked, f.pushedAt = f.sequence, f.sequence, now
+	m.Sequence, f.wantsAck, f.pushedAt = f.sequence, false, now
 	return m
 }
 
-// awaitsAck reports whether the follower needs an acknowledgement before the next stamp, because it may have only few
-// unacknowledged charges of a scarce account.
-func (f *member) awaitsAck(now time.Time) bool {
-	if f.acked == f.sequence || now.Sub(f.pushedAt) < pushInterval {
-		return false
-	}
-	for _, t := range f.told {
-		if t.scarce {
-			return true
-		}
-	}
-	return false
-}
-
 // changes returns the accounts whose state differs from what the follower was told.
 func (f *member) changes(now time.Time, s *accounts) []Standing {
 	var out []Standing
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -144,10 +144,12 @@
 }
 
 // interval returns the least time between two reports of charges. Reports may be slow as long as the unreported charges
-// of all hosts together are within what is left of the accounts.
-func (v *view) interval(quotas map[string]topo.Quota, hosts float64) time.Duration {
+// of all hosts together are within what is left of the accounts and this host's are far below their limit.
+func (v *view) interval(b *Bounds, quotas map[string]topo.Quota, hosts float64) time.Duration {
 	for name, units := range v.pending {
-		if t := v.standings[name]; t == nil || t.scarce || units > scarceBurst*quotas[name].Burst/hosts {
+		q := quotas[name]
+		fast := min(scarceBurst*q.Burst/hosts, smallReport*plentyLimit(b, &q))
+		if t := v.standings[name]; t == nil || t.scarce || units > fast {
 			return reportInterval
 		}
 	}
