--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,6 +107,7 @@
 	}
 	limits := newAgeLimits(s.DrainTime)
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
+	h.cache.setRevokeTime(s.RevokeTime)
 	notices := &notice.Table{Changed: h.noticeChanged, Malformed: h.noticeMalformed}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.senders = h.cache.senderCount
@@ -126,6 +127,7 @@
 		now: clock.SinceBoot, dial: link.Dial,
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
+	h.cache.isSource = h.relay.isSource
 	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.CampaignRejected = func() { h.Stats.CountEvent("campaign_rejected") }
 	h.Stats.SetGaugeFunc("leader", func() int64 { return indicator(h.elector.IsLeader()) })
@@ -143,7 +145,7 @@
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
-		Domain: s.Domain, Config: h.cache.Config,
+		Domain: s.Domain, Config: h.cache.Config, Keys: h.keys(),
 		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
