Answer calls beyond a quota with 429

Cause: calls beyond the quota of their workspace were answered with 503 by the scheduler's rejection, and calls to plain services were not charged.

Change: plain calls are charged before their first attempt, through the interface Quotas. Rejections with reason over_quota have status 429 and Retry-After.

Result: TestOverQuota. Calls without a workspace, or of one without a quota, are not charged.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -215,6 +215,9 @@
 		c.finishWithoutResponse(sched.ReasonVersionUnknown)
 		return
 	}
+	if !c.chargePlain() {
+		return
+	}
 	for {
 		u, retryAfter := c.pickUpstream()
 		if u == nil {
@@ -244,6 +247,19 @@
 	}
 }
 
+// chargePlain charges the call to the quota of its workspace and reports whether the quota allows it; if not, it has
+// ended the call.
+func (c *call) chargePlain() bool {
+	if c.s.Quotas == nil || c.workspace == nil || !c.workspace.Quota.Limited() {
+		return true
+	}
+	retryAfter, ok := c.s.Quotas.ChargePlain(c.workspace.Name, c.cost())
+	if !ok {
+		c.reject(sched.ReasonOverQuota, retryAfter)
+	}
+	return ok
+}
+
 // pickUpstream picks an upstream and waits until its statements allow the call. If no upstream takes the call soon
 // enough, it returns nil and the time after which one may, or 0 if there is none.
 func (c *call) pickUpstream() (u *topo.Upstream, retryAfter time.Duration) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -40,6 +40,7 @@
 	Pool        *h1.Pool
 	Tickets     TicketClient
 	Quarantine  Quarantine // nil if there is none
+	Quotas      Quotas     // nil if there are none
 	Balancer    *Balancer
 	RetryBudget RetryBudget
 	// RequestMemory and ResponseMemory bound what is held of all requests and of all responses; nil does not.
@@ -286,7 +287,11 @@
 func (c *call) reject(reason string, delay time.Duration) {
 	c.s.Stats.CountRejection(reason)
 	c.w.Header().Set(c.s.Headers.RetryAfter, strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
-	c.respond(http.StatusServiceUnavailable, reason)
+	status := http.StatusServiceUnavailable
+	if reason == sched.ReasonOverQuota {
+		status = http.StatusTooManyRequests
+	}
+	c.respond(status, reason)
 }
 
 // fail responds with a status that does not say whether the call has been executed.
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -78,6 +78,12 @@
 		Served(call *topo.CallSpec)
 	}
 
+	// Quotas charges calls to plain services to the quotas of workspaces.
+	Quotas interface {
+		// ChargePlain charges a call. If the quota does not allow it yet, it returns the time until it does, and false.
+		ChargePlain(workspace string, cost float64) (time.Duration, bool)
+	}
+
 	// RetryBudget is the retry budget of each service: Earn counts a call, Spend takes one retry if there is one.
 	RetryBudget interface {
 		Earn(service string)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -146,7 +146,7 @@
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config, Keys: h.keys(),
-		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
+		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Quotas: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
 		RetryBudget: &retryBudget{
