--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -113,6 +113,7 @@
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
+	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
 		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
@@ -152,7 +153,7 @@
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
 		Domain: s.Domain, Config: h.cache.Config, Keys: h.keys(),
-		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
+		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Quotas: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
 		RetryBudget: &retryBudget{
@@ -167,7 +168,7 @@
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	background := []func(context.Context){
 		h.elector.Run, h.tickets.run, h.tickets.connectLeader, h.reconciler.run, h.sweepIdle, h.relay.run,
-		h.streams.run,
+		h.streams.run, h.tickets.runQuota,
 	}
 	for _, f := range background {
 		go f(ctx)
@@ -252,7 +253,9 @@
 		h.tickets.notices.SetListed(now, ups)
 		k.SetConfig(h.cache.Config())
 		k.SetUpstreams(now, ups)
+		h.tickets.quota.SetWorkspaces(now, h.cache.Config().Workspaces)
 	})
+	h.tickets.wakeQuota()
 }
 
 func (h *Host) leadershipChanged(held bool) {
