Add fair queueing of workspaces, not yet complete in the scheduler

Calls of a workspace that sends several times its usual load delay and displace the calls of all others, because the scheduler orders calls by target time only and rejects by the whole queue.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -18,6 +18,7 @@
 	waitForDecode bool          // the engine's streams need a decode interval first
 	delay         time.Duration // time for which the engine's statements allow no call
 	limited       bool          // the delay is that of the engine's limit
+	full          bool          // the engine lacks the memory or a slot
 	evict         *topo.Adapter // adapter to unload first, or nil
 }
 
@@ -27,6 +28,9 @@
 	if left <= 0 {
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
+	if p.excess {
+		return s.reject(p, ReasonQueueShare, s.workTime(p, 1))
+	}
 	if !p.probe && s.Poison.Blocks(&p.Spec) {
 		return s.reject(p, ReasonQuarantine, QuarantineRetryAfter)
 	}
@@ -37,7 +41,11 @@
 		return dec
 	}
 	best, replicas := s.bestCandidate(now, p)
-	if best != nil && best.waitForDecode && now.Equal(p.arrived) {
+	if s.competes() {
+		if dec, ok := s.compete(now, p, best, replicas); ok {
+			return dec
+		}
+	} else if best != nil && best.waitForDecode && now.Equal(p.arrived) {
 		if queued := s.queuedPrefill(p, replicas); best.ttft+queued > p.maxQueueTime(left) {
 			return s.reject(p, ReasonOverload, queued)
 		}
@@ -131,7 +139,7 @@
 		c.score += overloadPenalty
 	}
 	full := e.kvTokens+c.prefillTokens+p.Spec.OutputTokens > int(maxMemoryShare*float64(e.kvTotal))
-	if full || e.Slots > 0 && len(e.tickets) >= e.Slots {
+	if c.full = full || e.Slots > 0 && len(e.tickets) >= e.Slots; c.full {
 		c.score += overloadPenalty
 		c.ttft += e.prefillBacklog(now)
 	}
@@ -269,6 +277,7 @@
 	t := s.newTicket(now, e, p)
 	e.addTicket(now, t)
 	s.Notices.Take(now, e.Instance(), s.LimitShare)
+	s.charge(now, t)
 	e.cache.add(p.prefixKeys, p.Spec.Segments)
 	streams, _ := e.streams()
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
@@ -373,6 +382,7 @@
 func (s *Scheduler) reject(p *pending, reason string, after time.Duration) Decision {
 	return Decision{
 		Kind: Rejected, Call: p.Call, Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter),
+		Position: p.position, WorkAhead: p.ahead,
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -134,6 +134,7 @@
 	demand       map[string]*demand
 	adapterLoads []AdapterLoad
 	reservedAt   time.Time
+	fair         fairQueue
 }
 
 // SetConfig sets the active configuration.
@@ -292,8 +293,7 @@
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
 	if dec.Kind == Waiting {
-		s.waiting = append(s.waiting, p)
-		s.queued[p.modelKey()] += p.prefill
+		dec = s.enqueue(now, p, dec)
 	}
 	return dec
 }
@@ -305,6 +305,7 @@
 			return false
 		}
 		s.leaveQueue(p)
+		s.fair.Remove(p)
 		return true
 	})
 }
@@ -328,18 +329,23 @@
 		e.delayed = 0
 	}
 	var out []Decision
+	var decided []*pending
 	queued := s.waiting[:0]
-	for _, p := range s.waiting {
+	for _, p := range s.fairOrder(now) {
 		dec := s.decide(now, p)
 		if dec.Kind == Waiting {
 			queued = append(queued, p)
 			continue
 		}
 		s.leaveQueue(p)
+		decided = append(decided, p)
 		out = append(out, dec)
 	}
 	clear(s.waiting[len(queued):])
 	s.waiting = queued
+	for _, p := range decided {
+		s.fair.Remove(p)
+	}
 	return out
 }
 
@@ -461,6 +467,8 @@
 	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
 	s.queued = make(map[modelKey]time.Duration)
+	s.fair.Describe = (*pending).describe
+	s.fair.Engines = s.holders
 	s.lastTicket = s.FirstTicket
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -20,6 +20,9 @@
 	ReasonNoReplica = "no_copy_in_time"
 	// ReasonOverload rejects a call that no engine is expected to serve in time.
 	ReasonOverload = "overloaded"
+	// ReasonQueueShare rejects a call that cannot be served in time, of a workspace that claims more than its share of
+	// the engines of its model.
+	ReasonQueueShare = "queue_share"
 	// ReasonQuarantine rejects a call with prompt segments that crash engines.
 	ReasonQuarantine = "quarantined_prompt"
 	// ReasonLimit rejects a call that the limits that the engines of its model state do not allow in time.
@@ -85,6 +88,9 @@
 		// quota.
 		Workspace string  `cbor:"16,keyasint,omitempty"`
 		Cost      float64 `cbor:"17,keyasint,omitempty"`
+		// WorkspacePriority is the priority of the workspace where HasWorkspacePriority is set; 0 is the most urgent.
+		WorkspacePriority    int  `cbor:"18,keyasint,omitempty"`
+		HasWorkspacePriority bool `cbor:"19,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
@@ -103,6 +109,10 @@
 		RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
 		// Final is set if a call was rejected for a stream that is not known, and the store does not know it either.
 		Final bool `cbor:"6,keyasint,omitempty"`
+		// Position and WorkAhead are the place in the fair order of a call that was rejected: the number of calls for
+		// its model that went before it, and their work in tokens.
+		Position  int     `cbor:"7,keyasint,omitempty"`
+		WorkAhead float64 `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Grant names the engine that a call may be sent to.
@@ -182,6 +192,9 @@
 		minTTFT    time.Duration // expected time to the first event on an idle engine
 		probe      bool          // the call tests a quarantine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
+		position   int           // calls for the model that go before it in the fair order
+		ahead      float64       // work of these calls, in tokens
+		excess     bool          // to be rejected because the queue is too long
 	}
 )
 
