Reject calls by the work before them in the fair order

A call behind the queue of its own hot workspace was accepted, missed its target and was rejected late, because the estimate ignored later calls of other workspaces; a workspace that waited alone fell behind the virtual time without bound. The estimate uses the measured rate of full engines, and the lag is bounded.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -65,6 +65,7 @@
 }
 
 func (c *call) handleRejection(decision sched.Decision) {
+	c.rejection = decision
 	if c.headerSent || c.mayHaveExecuted {
 		c.finishWithoutResponse(decision.Reason)
 		return
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,9 +100,10 @@
 	fallbackBody     []byte
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
-	takesUp          bool   // the caller takes a stream up
-	software         string // software version whose events the caller has, empty before the first one
-	delayedBy        string // why no upstream took the call at first
+	takesUp          bool           // the caller takes a stream up
+	software         string         // software version whose events the caller has, empty before the first one
+	delayedBy        string         // why no upstream took the call at first
+	rejection        sched.Decision // of the scheduler; the zero value if it rejected no attempt
 	grant            sched.Grant
 	timeToGrant      time.Duration // from the start to the last grant
 	firstEventSent   bool          // the current attempt has sent its first event
@@ -347,6 +348,9 @@
 	if c.delayedBy != "" {
 		e = e.Str("delayed_by", c.delayedBy)
 	}
+	if c.rejection.Position > 0 || c.rejection.WorkAhead > 0 {
+		e = e.Int("position", c.rejection.Position).Float64("work_ahead", c.rejection.WorkAhead)
+	}
 	if c.headerSent {
 		e = e.Dur("first_ms", c.timeToFirstEvent).Dur("pause_ms", c.maxGap).Dur("pause_at_ms", c.maxGapAt)
 	}
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -21,6 +21,7 @@
 		Item     T
 		Position int     // number of calls for the same pool that go before it
 		Ahead    float64 // work of these calls
+		Own      float64 // part of it that is of the same workspace
 	}
 
 	// Queue orders waiting calls of type T for pools P of engines E.
@@ -33,6 +34,7 @@
 		engines    map[E]*engine
 		workspaces map[string]*workspace[P]
 		pools      map[P]*pool[T, E]
+		largest    float64 // work of the largest call lately
 		decayedAt  time.Time
 	}
 
@@ -40,6 +42,8 @@
 		list    []E
 		engines []*engine
 		places  []place[T] // waiting calls in the merged order, then those that arrived since
+		flows   []*flow    // that wait for the engines, as of the last Order
+		base    float64    // lead from which a workspace starts that begins to wait
 	}
 
 	// place is a waiting call with the key by which it was merged.
@@ -91,10 +95,13 @@
 func (q *Queue[T, P, E]) Order(now time.Time, items []T) []Turn[T] {
 	q.decay(now)
 	for _, p := range q.pools {
-		p.places = p.places[:0]
+		p.places, p.flows = p.places[:0], p.flows[:0]
 	}
 	merge := q.heads(items)
 	q.leaveUnused()
+	for _, p := range q.pools {
+		p.rebase(q.largest)
+	}
 	for _, h := range merge {
 		h.update()
 	}
@@ -105,7 +112,8 @@
 		h := merge[0]
 		w := h.calls[0]
 		p := q.pools[w.call.Pool]
-		out = append(out, Turn[T]{Item: w.item, Position: len(p.places), Ahead: ahead[w.call.Pool]})
+		own := w.flow.merged * float64(max(len(w.flow.engines), 1))
+		out = append(out, Turn[T]{Item: w.item, Position: len(p.places), Ahead: ahead[w.call.Pool], Own: own})
 		ahead[w.call.Pool] += w.call.Work
 		p.places = append(p.places, place[T]{w.item, w.call.Workspace, h.key, w.call.Work})
 		w.flow.merged += w.flow.perEngine(w.call.Work)
@@ -137,6 +145,10 @@
 			out = append(out, h)
 		}
 		f := q.join(h.workspace, c.Pool)
+		if f.calls == 0 {
+			p := q.pools[c.Pool]
+			p.flows = append(p.flows, f)
+		}
 		f.queued += c.Work
 		f.calls++
 		h.calls = append(h.calls, waiting[T, P]{item, c, f, i})
@@ -195,11 +207,12 @@
 		if o.workspace == c.Workspace && before(o.item) {
 			turn.Position++
 			turn.Ahead += o.work
+			turn.Own += o.work
 		}
 	}
 	f := q.flow(q.workspace(c.Workspace), c.Pool)
 	if !f.joined {
-		f.resume()
+		f.resume(p.base)
 	}
 	k := f.key(c.Priority, f.perEngine(turn.Ahead))
 	for _, o := range p.places {
@@ -212,17 +225,22 @@
 }
 
 // Above reports whether the workspace of a waiting or arriving call claims more of the pool than the mean of the
-// workspaces that wait for it. A claim is the lead with the work that waits.
+// workspaces that used its engines lately. A claim is the lead above that of the
+// pool's newcomers, with the work that waits; it is 0 if none waits.
 func (q *Queue[T, P, E]) Above(item T) bool {
 	c := q.Describe(item)
+	p := q.pool(c.Pool)
 	var own, sum float64
 	n := 0
 	for name, ws := range q.workspaces {
 		f := ws.flows[c.Pool]
 		if f == nil || !f.joined {
+			if ws.uses(p.engines) {
+				n++
+			}
 			continue
 		}
-		claim := f.claim()
+		claim := f.claim() - p.base
 		sum += claim
 		n++
 		if name == c.Workspace {
@@ -232,6 +250,11 @@
 	return n > 1 && own > sum/float64(n)
 }
 
+// uses reports whether the workspace used one of the engines lately.
+func (ws *workspace[P]) uses(engines []*engine) bool {
+	return slices.ContainsFunc(engines, func(e *engine) bool { return ws.cells[e] != nil && ws.cells[e].work > 0 })
+}
+
 // Excess returns the call to reject when the queue is too long: the last one of the workspace that claims most beyond
 // its share of the engines of a pool. The bool is false if no call waits.
 func (q *Queue[T, P, E]) Excess() (T, bool) {
@@ -243,8 +266,11 @@
 	)
 	for name, ws := range q.workspaces {
 		for k, f := range ws.flows {
-			claim := f.claim() * float64(max(len(f.engines), 1))
-			if !f.joined || found && (claim < bestClaim || claim == bestClaim && name >= bestName) {
+			if !f.joined {
+				continue
+			}
+			claim := (f.claim() - q.pools[k].base) * float64(max(len(f.engines), 1))
+			if found && (claim < bestClaim || claim == bestClaim && name >= bestName) {
 				continue
 			}
 			for _, o := range slices.Backward(q.pools[k].places) {
--- a/internal/fair/share.go
+++ b/internal/fair/share.go
@@ -14,6 +14,9 @@
 	// decayInterval is the interval at which that is applied.
 	forgetTime    = 4 * time.Second
 	decayInterval = time.Second
+	// maxLag bounds how far a workspace is behind the virtual time, in calls of the largest size. Fair queueing alone
+	// keeps the difference between two workspaces that wait for the same engines below two calls.
+	maxLag = 4
 	// minWork is the work below which a record is dropped, in tokens.
 	minWork = 1
 	// minDeficit is the deficit from which on a workspace is owed its floor, in tokens; it keeps rounding errors out.
@@ -61,6 +64,7 @@
 // Charge records that an engine got work of a workspace.
 func (q *Queue[T, P, E]) Charge(now time.Time, name string, on E, work float64) {
 	q.decay(now)
+	q.largest = max(q.largest, work)
 	e := q.engine(on)
 	c := q.workspace(name).cell(e)
 	n := e.backlogged
@@ -121,7 +125,7 @@
 func (q *Queue[T, P, E]) join(ws *workspace[P], k P) *flow {
 	f := q.flow(ws, k)
 	if !f.joined {
-		f.resume()
+		f.resume(q.pools[k].base)
 		f.enter()
 	}
 	return f
@@ -138,14 +142,31 @@
 }
 
 // resume takes away the credit that a flow has gained while no call waited.
-func (f *flow) resume() {
-	f.lead = max(f.lead, -f.level(1))
+func (f *flow) resume(base float64) {
+	f.lead = max(f.lead, base-f.level(1))
 	if floor := -f.level(floorShare); !f.known || f.floor < floor {
 		f.floor = floor
 	}
 	f.known = true
 }
 
+// rebase bounds by how much the workspaces of a pool are behind the virtual time. They fall behind while others are
+// served that hardly ever wait, and would go before workspaces that wait for the same engines in other pools.
+func (p *pool[T, E]) rebase(largest float64) {
+	p.base = 0
+	for _, f := range p.flows {
+		p.base = min(p.base, f.level(1)+f.lead)
+	}
+	lag := -maxLag * largest / float64(max(len(p.engines), 1))
+	if p.base >= lag {
+		return
+	}
+	for _, f := range p.flows {
+		f.lead += lag - p.base
+	}
+	p.base = lag
+}
+
 // leave ends the competition of a flow.
 func (f *flow) leave() {
 	if !f.joined {
@@ -262,6 +283,7 @@
 	}
 	factor := math.Exp(-(n * decayInterval).Seconds() / forgetTime.Seconds())
 	q.decayedAt = q.decayedAt.Add(n * decayInterval)
+	q.largest *= factor
 	for _, e := range q.engines {
 		e.virtual *= factor
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,6 +132,7 @@
 		_, known := h.elector.Leader()
 		return indicator(known)
 	})
+	h.Stats.SetGaugeFunc("backlogged_workspaces", h.tickets.backloggedWorkspaces)
 	h.relay.promises.HandoverDelay = s.HandoverDelay
 	h.elector.PromisedUntil = h.relay.promises.Until
 	h.reconciler = &reconciler{
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -215,6 +215,13 @@
 	return waiting
 }
 
+// backloggedWorkspaces returns the number of workspaces with calls that wait at this host's scheduler.
+func (s *ticketService) backloggedWorkspaces() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.scheduler.BackloggedWorkspaces())
+}
+
 func (s *ticketService) wake() {
 	select {
 	case s.wakeCh <- struct{}{}:
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -9,15 +9,19 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// fleet returns a scheduler with n engines that each hold three of the first n of 1.7 n models.
-func fleet(n int) *sched.Scheduler {
+// fleet returns a scheduler with n engines that each hold three of the first n of 1.7 n models, for the given number of
+// workspaces.
+func fleet(n, workspaces int) *sched.Scheduler {
 	models := n * 17 / 10
 	spec := &topo.EngineSpec{Slots: 32, KVTokens: 180_000, AdapterSlots: 8}
 	for i := range models {
 		spec.Models = append(spec.Models, topo.Model{Name: "m" + strconv.Itoa(i), LoadTime: 4 * time.Second})
 	}
 	s := &sched.Scheduler{PlacementFrom: start}
-	s.SetConfig(&topo.Config{Services: map[string]topo.Service{"llm": {Name: "llm", Engine: spec}}})
+	s.SetConfig(&topo.Config{
+		Workspaces: make([]topo.Workspace, workspaces),
+		Services:   map[string]topo.Service{"llm": {Name: "llm", Engine: spec}},
+	})
 	var list []*topo.Upstream
 	for i := range n {
 		u := &topo.Upstream{ID: "e" + strconv.Itoa(i), Service: "llm", Addr: "addr" + strconv.Itoa(i), Boot: 1, Slots: 32}
@@ -41,7 +45,7 @@
 func BenchmarkGrant(b *testing.B) {
 	for _, n := range []int{20, 80, 320, 790} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
-			s := fleet(n)
+			s := fleet(n, 0)
 			now := start
 			open := make([]uint64, 4*n)
 			for i := 0; b.Loop(); i++ {
@@ -64,7 +68,7 @@
 func BenchmarkStep(b *testing.B) {
 	for _, n := range []int{20, 80, 320, 790} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
-			s := fleet(n)
+			s := fleet(n, 0)
 			for i := range n / 2 {
 				q := fleetCall(i, n)
 				q.Spec.Model, q.Remaining = "m"+strconv.Itoa(n+i), time.Hour
@@ -76,3 +80,39 @@
 		})
 	}
 }
+
+// BenchmarkGrantQueued measures the decision on a call, its first event and its release, with 500 calls of the given
+// number of workspaces queued for models that no engine holds. BenchmarkStepQueued measures a step with them.
+func BenchmarkGrantQueued(b *testing.B) {
+	benchmarkQueued(b, func(s *sched.Scheduler, n, i int) {
+		q := fleetCall(i, n)
+		q.Workspace = "0"
+		dec := s.Schedule(start, q)
+		s.FirstEvent(start, dec.Grant.Ticket)
+		s.Release(start, dec.Grant.Ticket, sched.Served)
+	})
+}
+
+func BenchmarkStepQueued(b *testing.B) {
+	benchmarkQueued(b, func(s *sched.Scheduler, _, _ int) { s.Step(start) })
+}
+
+func benchmarkQueued(b *testing.B, f func(s *sched.Scheduler, n, i int)) {
+	for _, workspaces := range []int{16, 100, 1000} {
+		for _, n := range []int{20, 140, 790} {
+			b.Run("workspaces="+strconv.Itoa(workspaces)+"/engines="+strconv.Itoa(n), func(b *testing.B) {
+				s := fleet(n, workspaces)
+				for i := range 500 {
+					q := fleetCall(n*100+i, n)
+					q.Spec.Model, q.Remaining = "m"+strconv.Itoa(n+i%(n/2)), time.Hour
+					q.Workspace = strconv.Itoa(i * 7 % workspaces)
+					s.Schedule(start, q)
+				}
+				s.Step(start)
+				for i := 0; b.Loop(); i++ {
+					f(s, n, i)
+				}
+			})
+		}
+	}
+}
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -29,7 +29,7 @@
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
 	if p.excess {
-		return s.reject(p, ReasonQueueShare, s.workTime(p, 1))
+		return s.reject(p, ReasonQueueShare, s.timeAhead(now, p))
 	}
 	if !p.probe && s.Poison.Blocks(&p.Spec) {
 		return s.reject(p, ReasonQuarantine, QuarantineRetryAfter)
@@ -42,7 +42,7 @@
 	}
 	best, replicas := s.bestCandidate(now, p)
 	if s.competes() {
-		if dec, ok := s.compete(now, p, best, replicas); ok {
+		if dec, ok := s.compete(now, p, best); ok {
 			return dec
 		}
 	} else if best != nil && best.waitForDecode && now.Equal(p.arrived) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -135,6 +135,7 @@
 	adapterLoads []AdapterLoad
 	reservedAt   time.Time
 	fair         fairQueue
+	saturated    map[modelKey]*saturation
 }
 
 // SetConfig sets the active configuration.
@@ -467,6 +468,7 @@
 	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
 	s.queued = make(map[modelKey]time.Duration)
+	s.saturated = make(map[modelKey]*saturation)
 	s.fair.Describe = (*pending).describe
 	s.fair.Engines = s.holders
 	s.lastTicket = s.FirstTicket
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -194,7 +194,9 @@
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
 		position   int           // calls for the model that go before it in the fair order
 		ahead      float64       // work of these calls, in tokens
+		own        float64       // part of it that is of the same workspace
 		excess     bool          // to be rejected because the queue is too long
+		queued     bool          // not decided on arrival
 	}
 )
 
