--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -42,7 +42,7 @@
 	}
 	best, replicas := s.bestCandidate(now, p)
 	if s.competes() {
-		if dec, ok := s.compete(now, p, best); ok {
+		if dec, ok := s.compete(now, p, best, replicas); ok {
 			return dec
 		}
 	} else if best != nil && best.waitForDecode && now.Equal(p.arrived) {
--- a/internal/sched/compete.go
+++ b/internal/sched/compete.go
@@ -84,7 +84,7 @@
 // compete decides on a call that has to wait for engines because other workspaces want them too. The call waits in the
 // fair order while its model's engines are full, and is rejected if it cannot be served in time after the calls that
 // go before it. Calls without a workspace may still be sent to full engines.
-func (s *Scheduler) compete(now time.Time, p *pending, best *candidate) (Decision, bool) {
+func (s *Scheduler) compete(now time.Time, p *pending, best *candidate, replicas int) (Decision, bool) {
 	if best == nil || best.delay > 0 {
 		return Decision{}, false
 	}
@@ -102,6 +102,10 @@
 		return Decision{}, false
 	}
 	wait := s.timeAhead(now, p)
+	if !best.full {
+		// Engines with room are held up by prefill only.
+		wait = min(wait, s.queuedPrefill(p, replicas))
+	}
 	limit := p.maxQueueTime(p.deadline.Sub(p.arrived))
 	if arriving && best.full && p.minTTFT <= p.TargetLatency {
 		// A call that misses its target goes last, so it is not served in time if it is not served by then.
