Test the priority of a workspace in the scheduler

Only internal/fair had a test of priorities. A waiting call of a more urgent workspace now has one with full engines.

--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// Guards against an order of the calls of one workspace that differs from that of the scheduler, also beside others, and
-// against engines that stay contested after their calls have left or the engines of a model have changed.
+// Guards against an order of the calls of one workspace that differs from that of the scheduler, also beside others,
+// and against engines that stay contested after their calls have left or the engines of a model have changed.
 func TestOrderWithinWorkspace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSite(map[string][]int{"a": engines(0, 3), "b": engines(2, 5), "c": nil})
--- a/internal/sched/compete_test.go
+++ b/internal/sched/compete_test.go
@@ -92,16 +92,27 @@
 }
 
 // Guards against calls of workspaces that wait in the queue of a full engine, and against calls without a workspace
-// that wait elsewhere.
+// that wait elsewhere. Guards against waiting calls that are served without regard to the priority of their workspace.
 func TestFullEnginesBeforeWorkspaces(t *testing.T) {
 	s := withWorkspaces(newScheduler(1), 2)
 	q := call("", 100)
-	q.TargetLatency = time.Second
+	q.TargetLatency, q.HasWorkspacePriority, q.WorkspacePriority = time.Second, true, 2
+	var first sched.Decision
 	for i := range 12 {
 		q.Call, q.Workspace = strconv.Itoa(i), "w"
-		if got := s.Schedule(start, q); (got.Kind == sched.Granted) != (i < 8) {
+		got := s.Schedule(start, q)
+		if (got.Kind == sched.Granted) != (i < 8) {
 			t.Errorf("call %d of a workspace: %+v", i, got)
 		}
+		if i == 0 {
+			first = got
+		}
+	}
+	q.Call, q.Workspace, q.WorkspacePriority = "urgent", "u", 1
+	s.Schedule(start, q)
+	s.Release(start, first.Grant.Ticket, sched.Served)
+	if got := s.Step(start); len(got) != 1 || got[0].Call != "urgent" || got[0].Kind != sched.Granted {
+		t.Errorf("after a slot is free: %+v", got)
 	}
 	q.Call, q.Workspace = "without", ""
 	if got := s.Schedule(start, q); got.Kind != sched.Granted {
