--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -6,9 +6,9 @@
 	"github.com/figreel/figreel/internal/quota"
 )
 
-// charge charges a call to the quota of its workspace, unless an earlier attempt or another decision on the same
+// chargeQuota charges a call to the quota of its workspace, unless an earlier attempt or another decision on the same
 // attempt has been charged. If the quota does not allow the call yet, the decision rejects it.
-func (s *Scheduler) charge(now time.Time, q *Request) (quota.Receipt, Decision, bool) {
+func (s *Scheduler) chargeQuota(now time.Time, q *Request) (quota.Receipt, Decision, bool) {
 	if len(q.Tried) > 0 || q.Charged || !s.Quota.Limits(q.Workspace) {
 		return quota.Receipt{}, Decision{}, true
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -137,6 +137,8 @@
 	demand       map[string]*demand
 	adapterLoads []AdapterLoad
 	reservedAt   time.Time
+	fair         fairQueue
+	saturated    map[modelKey]*saturation
 }
 
 // SetConfig sets the active configuration.
@@ -274,7 +276,7 @@
 // its workspace.
 func (s *Scheduler) Schedule(now time.Time, q Request) Decision {
 	s.init()
-	charged, dec, ok := s.charge(now, &q)
+	charged, dec, ok := s.chargeQuota(now, &q)
 	if !ok {
 		return dec
 	}
@@ -310,8 +312,7 @@
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
 	if dec.Kind == Waiting {
-		s.waiting = append(s.waiting, p)
-		s.queued[p.modelKey()] += p.prefill
+		dec = s.enqueue(now, p, dec)
 	}
 	return dec
 }
@@ -324,6 +325,7 @@
 		}
 		s.leaveQueue(p)
 		s.Quota.Refund(p.charged)
+		s.fair.Remove(p)
 		return true
 	})
 }
@@ -347,8 +349,9 @@
 		e.delayed = 0
 	}
 	var out []Decision
+	var decided []*pending
 	queued := s.waiting[:0]
-	for _, p := range s.waiting {
+	for _, p := range s.fairOrder(now) {
 		dec := s.decide(now, p)
 		if dec.Kind == Waiting {
 			queued = append(queued, p)
@@ -358,10 +361,14 @@
 		if dec.Kind == Rejected {
 			s.Quota.Refund(p.charged)
 		}
+		decided = append(decided, p)
 		out = append(out, dec)
 	}
 	clear(s.waiting[len(queued):])
 	s.waiting = queued
+	for _, p := range decided {
+		s.fair.Remove(p)
+	}
 	return out
 }
 
@@ -483,6 +490,9 @@
 	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
 	s.queued = make(map[modelKey]time.Duration)
+	s.saturated = make(map[modelKey]*saturation)
+	s.fair.Describe = (*pending).describe
+	s.fair.Engines = s.holders
 	s.lastTicket = s.FirstTicket
 }
 
