Report charges that are not urgent every two seconds

Cause: a follower with plain calls of 16 workspaces sent all their charges up to four times a second, 1.3 KB/s, although few of them matter to the leader soon.

Change: charges go out every 250 ms only where the account is scarce or unknown, or the charges are large.

--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -18,8 +18,8 @@
 	// plentyShare is the share of what is left of an account that is not scarce, and of plainRoom, that the plain
 	// calls of one host may use without an acknowledgement. It allows for clients that all use the same host.
 	plentyShare = 0.25
-	// smallReport is the share of that limit up to which charges may be reported slowly and are acknowledged only with
-	// the next stamp.
+	// smallReport is the share of that limit up to which charges are not urgent and are acknowledged only with the next
+	// stamp.
 	smallReport = 0.125
 	// scarceBurst is the share of the burst below which an account is scarce.
 	scarceBurst = 0.25
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -288,7 +288,10 @@
 		return nil
 	}
 	mayLend := l.boot >= l.freeAt || l.lentTo == "" || l.lentTo == l.following
-	m := l.view.report(now, mayLend, l.view.interval(&l.Bounds, l.quotas, l.hosts))
+	m := l.view.report(now, mayLend, func(workspace string) bool {
+		q := l.quotas[workspace]
+		return l.view.urgent(&l.Bounds, workspace, &q, l.hosts)
+	})
 	if m != nil && m.Stamp > 0 {
 		if !l.part.since.IsZero() {
 			l.part.since = time.Time{}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -134,6 +134,41 @@
 	}
 }
 
+// Guards against units that a host gains by connecting to a leader and disconnecting again.
+func TestReconnecting(t *testing.T) {
+	l := &quota.Limiter{Bounds: quota.Bounds{Window: 8 * time.Second}}
+	l.SetWorkspaces(origin, workspaces(1000, "w"))
+	now, boot := origin, time.Minute
+	wait := func(d time.Duration) {
+		now, boot = now.Add(d), boot+d
+		l.Update(now, boot, false, 10)
+	}
+	wait(0)
+	wait(3 * time.Second)
+	for i := range 5 {
+		wait(time.Second)
+		if _, _, ok := l.Charge(now, "w", 101); ok {
+			t.Fatal("a call larger than the account was allowed")
+		}
+		l.Follow("1")
+		l.Apply(now, &quota.Message{Stamp: int64(i + 1)})
+		if m := l.Report(now); m == nil || m.Stamp != int64(i+1) || l.Share() != 0 {
+			t.Fatalf("the part of the rate is not lent: %+v", m)
+		}
+		l.Unfollow(boot, true)
+		wait(0)
+		if _, _, ok := l.Charge(now, "w", 1); ok || l.Share() != 0.1 {
+			t.Fatalf("units after disconnecting, share %.2f", l.Share())
+		}
+	}
+	if wait(time.Second); l.Share() != 0.1 {
+		t.Errorf("share %.2f", l.Share())
+	}
+	if _, _, ok := l.Charge(now, "w", 100); !ok {
+		t.Error("a host alone does not get its part")
+	}
+}
+
 // Measures a charge at the leader of the largest fleet.
 func BenchmarkCharge(b *testing.B) {
 	for _, n := range []int{16, 100, 1000} {
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// reportInterval is the least time between two reports of charges, and slowReportInterval that while no account
-	// is scarce.
+	// reportInterval is the least time between two reports of charges, slowReportInterval that between two reports of
+	// charges that are not urgent.
 	reportInterval     = 250 * time.Millisecond
-	slowReportInterval = 500 * time.Millisecond
+	slowReportInterval = 2 * time.Second
 )
 
 // view is what a follower knows of the leader's accounts, with its charges that the leader does not know of yet.
@@ -24,6 +24,7 @@
 	sent      []batch            // reports that the leader has not acknowledged
 	sequence  uint64
 	sentAt    time.Time // of the last report of charges
+	sentAllAt time.Time // of the last report of all charges
 	stamp     int64     // newest stamp of the leader
 	echoed    int64     // newest stamp that was echoed
 }
@@ -88,19 +89,31 @@
 }
 
 // report returns the next message to the leader, or nil if there is nothing to say yet.
-func (v *view) report(now time.Time, mayEcho bool, interval time.Duration) *Message {
+func (v *view) report(now time.Time, mayEcho bool, urgent func(workspace string) bool) *Message {
 	m := &Message{}
 	if mayEcho && v.stamp > v.echoed {
 		m.Stamp, v.echoed = v.stamp, v.stamp
 	}
-	if len(v.pending) > 0 && now.Sub(v.sentAt) >= interval {
+	units := make(map[string]float64)
+	if now.Sub(v.sentAt) >= reportInterval {
+		all := now.Sub(v.sentAllAt) >= slowReportInterval
+		for name, n := range v.pending {
+			if all || urgent(name) {
+				units[name] = n
+			}
+		}
+		if all {
+			v.sentAllAt = now
+		}
+	}
+	if len(units) > 0 {
 		v.sequence++
 		m.Sequence, v.sentAt = v.sequence, now
-		for _, name := range slices.Sorted(maps.Keys(v.pending)) {
-			m.Charges = append(m.Charges, Usage{Workspace: name, Units: int64(math.Ceil(v.pending[name]))})
+		for _, name := range slices.Sorted(maps.Keys(units)) {
+			m.Charges = append(m.Charges, Usage{Workspace: name, Units: int64(math.Ceil(units[name]))})
+			delete(v.pending, name)
 		}
-		v.sent = append(v.sent, batch{sequence: v.sequence, units: v.pending})
-		v.pending = make(map[string]float64)
+		v.sent = append(v.sent, batch{sequence: v.sequence, units: units})
 	}
 	if m.Stamp == 0 && m.Sequence == 0 {
 		return nil
@@ -143,15 +156,10 @@
 	return plentyShare * (scarceBurst*q.Burst + plainRoom*b.room(q))
 }
 
-// interval returns the least time between two reports of charges. Reports may be slow as long as the unreported charges
-// of all hosts together are within what is left of the accounts and this host's are far below their limit.
-func (v *view) interval(b *Bounds, quotas map[string]topo.Quota, hosts float64) time.Duration {
-	for name, units := range v.pending {
-		q := quotas[name]
-		fast := min(scarceBurst*q.Burst/hosts, smallReport*plentyLimit(b, &q))
-		if t := v.standings[name]; t == nil || t.scarce || units > fast {
-			return reportInterval
-		}
-	}
-	return slowReportInterval
+// urgent reports whether charges are to be reported soon. Others may wait: those of all hosts together are within what
+// is left of the account, and those of this host are far below their limit.
+func (v *view) urgent(b *Bounds, name string, q *topo.Quota, hosts float64) bool {
+	t := v.standings[name]
+	few := min(scarceBurst*q.Burst/hosts, smallReport*plentyLimit(b, q))
+	return t == nil || t.scarce || v.pending[name] > few
 }
