Take no response for complete whose connection was reset

A response without length and chunks ends with its connection. A write of the request that fails takes the error of the socket, and the next read returns the end of the stream, so a part counted as the whole. A status below 100 was skipped like an informational one, and one above 599 passed.

Package intact looks at the socket after the end of the stream: its state must be that after a clean close, the write must have succeeded, and the peer must have acknowledged all of it. Bytes that a closed peer has not read are answered with a reset and never acknowledged. A status outside 100 to 599 ends the connection.

--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/intact"
 	"github.com/figreel/figreel/internal/mem"
 )
 
@@ -27,7 +28,9 @@
 	stopAbort   func() bool  // cancels the abort that follows the end of the context
 	writeResult <-chan error // receives the result of sending the request
 	keepAlive   bool         // the response allows reuse of the connection
+	untilClose  bool         // only the end of the connection shows the end of the body
 	finished    bool
+	cut         error // the end of the stream was read, but is not that of the body
 }
 
 // Read reads the body. io.EOF means that the body is complete; every other error is ErrNoResponse.
@@ -36,6 +39,13 @@
 	if err == nil {
 		return n, nil
 	}
+	if errors.Is(err, io.EOF) && r.untilClose && !r.finished {
+		// The failed write of the request may have taken the error of a connection that was reset.
+		r.cut = intact.Verify(r.conn.Conn, r.writeResult, false)
+	}
+	if r.cut != nil {
+		err = r.cut
+	}
 	if errors.Is(err, io.EOF) {
 		r.finish(true)
 		return n, io.EOF
@@ -93,6 +103,9 @@
 			return nil, err
 		}
 		c.limit.stop()
+		if err := intact.CheckStatus(res.StatusCode); err != nil {
+			return nil, err
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -130,7 +143,8 @@
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
 		LocalAddr: c.LocalAddr().String(), Earlier: c.requests - 1,
-		keepAlive: !res.Close && !unframed && res.Request.Method != http.MethodHead,
+		keepAlive:  !res.Close && !unframed && res.Request.Method != http.MethodHead,
+		untilClose: unframed && res.Request.Method != http.MethodHead,
 	}
 }
 
