Check the end of responses in the clients of figreel serve

net/http's Transport takes the end of the stream for the end of a response without length and chunks, also if the connection was reset while the request was written. It passes on statuses below 100 and above 599. crypto/tls returns the end of the stream if a connection ends without a notification, so anyone on the way could end such a response.

The connections of package xhttp now return the end of the stream only after a clean close (package intact), over TLS only after its notification, and once the request is written (httptrace.WroteRequest) and acknowledged. A status outside 100 to 599 is a failed request that may have been sent.

TestResponseCutDuringUpload on the code before, 2 exchanges a row: 28 cut responses counted as complete, all with uploads of 16 MB: xhttp, plain, orders of engine and kvapi, with and without TLS. Requests without a body (status of an engine, svcreg, weight) and uploads of 100 bytes and 64 KiB had none. TestEndWithoutNotification: 1 of 1 counted as complete. TestStatusOfResponse: plain passed on 8 of 8; the others expect a status and failed. All pass now, with -race.

--- a/internal/xhttp/client.go
+++ b/internal/xhttp/client.go
@@ -16,6 +16,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/figreel/figreel/internal/intact"
 )
 
 const (
@@ -102,11 +104,12 @@
 	// Only HTTP/1 is enabled, because net/http may send an HTTP/2 request again after a GOAWAY frame.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	transport := &http.Transport{
+		DisableCompression: true, Protocols: protocols, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	(&intact.Dialer{Dial: dial, HandshakeTimeout: dialTimeout}).Configure(transport)
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, Protocols: protocols,
-			TLSHandshakeTimeout: dialTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -116,11 +119,14 @@
 func sendOnce(r *http.Request, send func(*http.Request) (*http.Response, error)) (*http.Response, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	r = r.WithContext(intact.Trace(httptrace.WithClientTrace(r.Context(), trace)))
 	r.GetBody = nil
 	resp, err := send(r)
 	if err == nil {
-		return resp, nil
+		if err = intact.CheckStatus(resp.StatusCode); err == nil {
+			return resp, nil
+		}
+		_ = resp.Body.Close()
 	}
 	// The URL may contain a caller's data, which must not appear in errors.
 	var urlErr *url.Error
