Check the end of responses in the operators' commands

The commands used net/http's Transport as it is, with the fault of the other clients: a change counted as accepted although its response was cut.

--- a/internal/opcli/client.go
+++ b/internal/opcli/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/intact"
 	"github.com/figreel/figreel/internal/oper"
 	"github.com/figreel/figreel/pkg/answer"
 )
@@ -47,17 +48,19 @@
 	if len(hosts) == 0 {
 		return nil, errors.New("no host given: use --host or FIGREEL_HOSTS")
 	}
-	transport := &http.Transport{}
+	dialer := &intact.Dialer{Dial: new(net.Dialer).DialContext, HandshakeTimeout: requestTimeout}
 	if caFile != "" {
 		pem, err := os.ReadFile(caFile)
 		if err != nil {
 			return nil, errors.Wrap(err, "read CA")
 		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: x509.NewCertPool(), MinVersion: tls.VersionTLS12}
-		if !transport.TLSClientConfig.RootCAs.AppendCertsFromPEM(pem) {
+		dialer.TLS = &tls.Config{RootCAs: x509.NewCertPool(), MinVersion: tls.VersionTLS12}
+		if !dialer.TLS.RootCAs.AppendCertsFromPEM(pem) {
 			return nil, errors.Errorf("%s holds no certificate", caFile)
 		}
 	}
+	transport := new(http.Transport)
+	dialer.Configure(transport)
 	httpClient := &http.Client{Transport: transport, Timeout: requestTimeout}
 	return &client{hosts: hosts, key: strings.TrimSpace(key), httpClient: httpClient}, nil
 }
@@ -100,7 +103,7 @@
 		}
 		body = bytes.NewReader(b)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(host, "/")+path, body)
+	req, err := http.NewRequestWithContext(intact.Trace(ctx), method, strings.TrimSuffix(host, "/")+path, body)
 	if err != nil {
 		return err
 	}
@@ -111,6 +114,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := intact.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return errors.Wrap(err, "read response")
