Estimate the speed of engines and the cost of models apart

Cause: the scheduler kept one average of slowdown for each engine and one of cost for each model, both from the same ratio. Calls sent into a backlog were not measured, a late prompt did not change the backlog behind it, and a new leader began without estimates.

Change: package speed estimates the logarithms of speed and cost with a filter each. The first measurements form a running mean, later ones an average. Two measurements in a row that do not fit find a straggler; an engine without measurements returns to its usual speed. Calls into a known backlog are measured, and the age of the first outstanding prompt counts. A grant carries speed and cost. Followers keep them and send the newest to a new leader with Hello.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -336,7 +337,8 @@
 	}
 	if c.grant.Engine != "" {
 		e = e.Dur("granted_ms", c.timeToGrant).Uint64("ticket", c.grant.Ticket).Int("read", c.grant.PrefillTokens).
-			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams)
+			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams).
+			Float64("speed", math.Round(c.grant.Speed*100)/100)
 	}
 	if c.takesUp {
 		e = e.Str("resumes", c.r.Header.Get(c.s.Headers.Resumes))
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -9,7 +9,9 @@
 
 // hello returns the first message to a leader: what it has to know of this host's calls. s.mu is held.
 func (s *ticketService) hello() *link.Message {
-	m := &link.Message{Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own()}
+	m := &link.Message{
+		Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own(), Speeds: s.scheduler.Speeds(time.Now()),
+	}
 	for _, t := range s.openTickets {
 		m.OpenTickets = append(m.OpenTickets, *t)
 	}
@@ -26,6 +28,7 @@
 		f.tickets[t.Grant.Ticket] = true
 	}
 	s.scheduler.Streams.Learn(time.Now(), hello.Streams...)
+	s.scheduler.LearnSpeeds(time.Now(), hello.Speeds)
 	s.mu.Unlock()
 	for {
 		m, err := c.Receive()
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -416,6 +416,7 @@
 	t := &sched.OpenTicket{Request: req, Grant: decision.Grant}
 	s.openTickets[decision.Grant.Ticket] = t
 	s.scheduler.RestoreTicket(time.Now(), *t)
+	s.scheduler.LearnGrant(time.Now(), &req, &t.Grant)
 	s.mu.Unlock()
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,6 +13,7 @@
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
@@ -90,6 +91,8 @@
 		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
 		// FirstEvent the one that the event began.
 		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
+		// Speeds holds with Hello the newest estimates of the speed of engines and the cost of models at the sender.
+		Speeds []speed.Estimate `cbor:"21,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -88,6 +88,7 @@
 // service.
 func (s *Scheduler) bestCandidate(now time.Time, p *pending) (*candidate, int) {
 	s.reserveEngines(now)
+	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
 	var best *candidate
 	replicas := 0
 	for _, e := range s.holders(p.modelKey()) {
@@ -110,7 +111,7 @@
 func (s *Scheduler) evaluate(now time.Time, p *pending, e *engine) *candidate {
 	c := &candidate{engine: e}
 	var prefill time.Duration
-	c.prefillTokens, prefill = s.estimatePrefill(now, p, e)
+	c.prefillTokens, prefill = estimatePrefill(now, p, e)
 	c.ttft = e.prefillBacklog(now) + prefill + responseOverhead
 	if c.delay, c.limited = s.delay(now, p, e); c.delay > 0 {
 		c.ttft += c.delay
@@ -275,25 +276,46 @@
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
 		PrefillTokens: t.prefillTokens, PrefillTime: e.prefillBacklog(now), Streams: streams,
 		Probe: p.probe, DelayedBy: p.delayedBy, Software: e.Software,
+		Speed: 1 / e.speed.Slowness(now), TokenCost: p.tokenCost,
 	}}
 }
 
 func (s *Scheduler) newTicket(now time.Time, e *engine, p *pending) *ticket {
 	s.lastTicket++
-	tokens, prefill := s.estimatePrefill(now, p, e)
+	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
+	tokens, prefill := estimatePrefill(now, p, e)
+	backlog, slowdown := e.prefillBacklog(now), e.currentSlowdown(now)
 	t := &ticket{
 		id: s.lastTicket, request: p.Request, engine: e, granted: now,
 		prefillTokens: tokens, kvTokens: tokens + p.Spec.OutputTokens, prefill: prefill,
-		noBacklog: e.prefillBacklog(now) == 0,
+		usualPrefill: scale(1/slowdown, prefill), noBacklog: backlog == 0,
+	}
+	// The length of a backlog that has taken longer than estimated is not known.
+	known := backlog == 0 && tokens >= costMinTokens || backlog > latePrefill
+	if known {
+		t.expected = scale(1/slowdown, backlog+prefill)
 	}
 	s.tickets[t.id] = t
 	return t
 }
 
+// measure updates the estimates of speed and cost with the time to the first event of a call.
+func (s *Scheduler) measure(now time.Time, t *ticket) {
+	if t.expected == 0 {
+		return
+	}
+	model := ""
+	if t.noBacklog {
+		model = t.request.Spec.Model
+	}
+	s.speeds.Measure(now, t.engine.speed, model, now.Sub(t.granted)-responseOverhead, t.expected)
+}
+
 // estimatePrefill returns the number of prompt tokens that the engine has not cached, and the time of their prefill.
-func (s *Scheduler) estimatePrefill(now time.Time, p *pending, e *engine) (tokens int, prefill time.Duration) {
+func estimatePrefill(now time.Time, p *pending, e *engine) (tokens int, prefill time.Duration) {
 	tokens = p.Spec.PromptTokens - e.cache.cachedTokens(p.prefixKeys, p.Spec.Segments)
-	return tokens, time.Duration(float64(tokens) * float64(s.tokenCost(p.Spec.Model)) * e.currentSlowdown(now))
+	prefill = time.Duration(float64(tokens) * float64(p.tokenCost) * e.currentSlowdown(now))
+	return tokens, max(prefill+scale(e.speed.Slowness(now)-1, stepTime), 0)
 }
 
 // waitForModel leaves a call queued while its model can still be loaded before the deadline, and rejects it otherwise.
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -42,7 +42,7 @@
 		s.demand[q.Spec.Model] = m
 	}
 	m.requested = true
-	work := s.unsharedPrefill(&q.Spec) + time.Duration(q.Spec.OutputTokens)*outputTokenCost
+	work := s.unsharedPrefill(q) + time.Duration(q.Spec.OutputTokens)*outputTokenCost
 	m.load = m.load*m.decay(now, demandTimeConstant) + work.Seconds()/demandTimeConstant.Seconds()
 	m.callRate = m.callRate*m.decay(now, callRateTimeConstant) + 1/callRateTimeConstant.Seconds()
 	m.updated = now
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -18,17 +20,21 @@
 	draining         map[string]bool      // models that get no new calls, because they are about to be unloaded
 	loading          map[string]time.Time // when the load of a model was accepted
 	notResidentUntil map[string]time.Time // by model, after the engine lacked it or an adapter
+	// prefills are the calls without a first event in the order of their grants; usualBacklog is the sum of their
+	// prefill times on an engine of usual speed. headSince is when the engine is assumed to have begun with the first.
+	prefills     []*ticket
+	usualBacklog time.Duration
+	headSince    time.Time
 	// prefillUntil is the time at which the prefill of all prompts sent is expected to end.
 	prefillUntil time.Time
 	// prefillSince is when the current period of prefill without a decode interval began.
 	prefillSince        time.Time
-	prefilling          int       // number of calls without a first event
 	kvTokens            int       // KV cache of the open tickets, in tokens
 	kvTotal             int       // size of the KV cache, in tokens
 	backoffUntil        time.Time // until then no calls are sent
 	failures            int       // consecutive failures
 	reserved            bool      // reserved for long prompts
-	slowdown            float64   // moving average of the ratio of observed to expected prefill time
+	speed               *speed.Engine
 	load                topo.Load // as stated in the newest response
 	loadAt              time.Time // when it arrived
 	delayed             int       // queued calls that wait for this engine's limit
@@ -45,7 +51,7 @@
 		Upstream: *u, tickets: make(map[uint64]*ticket), cache: newCache(int(cacheShare * float64(kvTokens))),
 		adapters: make(map[topo.Adapter]*adapter), models: make(map[string]bool), draining: make(map[string]bool),
 		loading: make(map[string]time.Time), notResidentUntil: make(map[string]time.Time),
-		kvTotal: kvTokens, slowdown: 1, streamGaps: make(map[time.Duration]int),
+		kvTotal: kvTokens, streamGaps: make(map[time.Duration]int),
 	}
 }
 
@@ -94,12 +100,30 @@
 
 // prefillBacklog returns the estimated time until the prefill of all prompts sent has ended.
 func (e *engine) prefillBacklog(now time.Time) time.Duration {
-	rest := max(e.prefillUntil.Sub(now), 0)
-	if e.prefilling > 0 {
-		// The engine may be slower than estimated, so an outstanding prefill never counts as ended.
-		rest = max(rest, latePrefill)
+	if len(e.prefills) == 0 {
+		return max(e.prefillUntil.Sub(now), 0)
 	}
-	return rest
+	slowdown, head := e.currentSlowdown(now), e.prefills[0].usualPrefill
+	headRest := scale(slowdown, head) - now.Sub(e.headSince)
+	if headRest < 0 {
+		// A late prefill is expected to take as long again as it is late.
+		headRest = -headRest
+	}
+	// The engine may be slower than estimated, so an outstanding prefill never counts as ended.
+	return max(scale(slowdown, e.usualBacklog-head)+headRest, latePrefill)
+}
+
+// lateSlowdown returns the slowdown that the age of the first outstanding prefill shows, or 0 if it is not late yet.
+func (e *engine) lateSlowdown(now time.Time, assumed float64) float64 {
+	if len(e.prefills) == 0 {
+		return 0
+	}
+	usual := max(e.prefills[0].usualPrefill, latePrefill)
+	took := now.Sub(e.headSince) - responseOverhead
+	if took < scale(lateFactor*assumed, usual) {
+		return 0
+	}
+	return min(float64(took)/float64(usual), maxSlowdown)
 }
 
 // serves reports whether calls for the model may be sent to the engine.
@@ -117,7 +141,7 @@
 			e.prefillSince = now
 		}
 		e.prefillUntil = now.Add(e.prefillBacklog(now) + t.prefill)
-		e.prefilling++
+		e.addPrefill(now, t)
 	} else {
 		e.countStream(t, 1)
 	}
@@ -143,8 +167,7 @@
 	delete(e.tickets, t.id)
 	e.kvTokens -= t.kvTokens
 	if !t.firstEvent {
-		e.prefilling--
-		e.recomputeBacklog(now)
+		e.removePrefill(now, t)
 	} else {
 		e.countStream(t, -1)
 	}
@@ -156,8 +179,8 @@
 // startStream records the first event of a call.
 func (e *engine) startStream(now time.Time, t *ticket) {
 	t.firstEvent = true
-	e.prefilling--
-	e.recomputeBacklog(now)
+	e.headSince = now
+	e.removePrefill(now, t)
 	e.countStream(t, 1)
 }
 
@@ -187,13 +210,13 @@
 // currentSlowdown returns the expected ratio of prefill time to its usual value. A stated slowdown counts for the more
 // the newer it is.
 func (e *engine) currentSlowdown(now time.Time) float64 {
-	age := now.Sub(e.loadAt)
-	if e.load.Slots == 0 || age > maxLoadAge {
-		return e.slowdown
+	slowness := e.speed.Slowness(now)
+	if age := now.Sub(e.loadAt); e.load.Slots > 0 && age <= maxLoadAge {
+		weight := math.Exp(-age.Seconds() / loadTimeConstant.Seconds())
+		stated := min(max(e.load.Slowdown, 1/maxStatedSlowdown), maxStatedSlowdown)
+		slowness += weight * (stated - slowness)
 	}
-	weight := math.Exp(-age.Seconds() / loadTimeConstant.Seconds())
-	stated := min(max(e.load.Slowdown, 1/maxStatedSlowdown), maxStatedSlowdown)
-	return e.slowdown + weight*(stated-e.slowdown)
+	return max(slowness, e.lateSlowdown(now, slowness))
 }
 
 // stallTime returns how long the running streams would get no event if a prompt with this prefill time came next.
@@ -206,16 +229,27 @@
 
 // decoded reports whether the last prefill ended long enough ago that the running streams have produced events.
 func (e *engine) decoded(now time.Time) bool {
-	return e.prefilling == 0 && now.After(e.prefillUntil.Add(decodeInterval))
+	return len(e.prefills) == 0 && now.After(e.prefillUntil.Add(decodeInterval))
 }
 
-// recomputeBacklog shortens the prefill backlog to the sum of the outstanding prompts, after one has ended.
-func (e *engine) recomputeBacklog(now time.Time) {
+func (e *engine) addPrefill(now time.Time, t *ticket) {
+	if len(e.prefills) == 0 {
+		e.headSince = now
+	}
+	e.prefills = append(e.prefills, t)
+	e.usualBacklog += t.usualPrefill
+}
+
+// removePrefill removes an outstanding prompt and shortens the prefill backlog to the sum of the others.
+func (e *engine) removePrefill(now time.Time, t *ticket) {
+	if e.prefills[0] == t {
+		e.headSince = now
+	}
+	e.prefills = slices.DeleteFunc(e.prefills, func(other *ticket) bool { return other == t })
+	e.usualBacklog -= t.usualPrefill
 	var rest time.Duration
-	for _, t := range e.tickets {
-		if !t.firstEvent {
-			rest += t.prefill
-		}
+	if len(e.prefills) > 0 {
+		rest = scale(e.currentSlowdown(now), e.usualBacklog)
 	}
 	if until := now.Add(rest); until.Before(e.prefillUntil) {
 		e.prefillUntil = until
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,23 +6,23 @@
 
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
-	// initialTokenCost is the prefill time per prompt token that is assumed for a model before the first measurement.
-	initialTokenCost = 26 * time.Microsecond
-	// costWeight is the weight of a new measurement in the moving average of a model's prefill time per token.
-	costWeight = 0.2
 	// costMinTokens is the number of prefill tokens below which a call is not used as a measurement.
 	costMinTokens = 400
 	// responseOverhead is the part of the time to the first event that does not depend on the prompt length.
 	responseOverhead = 20 * time.Millisecond
-	// slowdownWeight is the weight of a new measurement in the moving average of an engine's slowdown; maxSlowdown
-	// bounds one measurement.
-	slowdownWeight = 0.2
-	maxSlowdown    = 8.0
+	// stepTime is the part of responseOverhead that grows with the slowdown of an engine: a call waits for the end of
+	// the step that runs, and its last step has a part that does not depend on the prompt.
+	stepTime = 8 * time.Millisecond
+	// maxSlowdown bounds the slowdown that the age of an outstanding prefill shows. Such a prefill is late from
+	// lateFactor times its estimate on.
+	maxSlowdown = 8.0
+	lateFactor  = 1.5
 	// maxStatedSlowdown bounds the slowdown that an engine states, so that no engine is left out for it.
 	// loadTimeConstant is the time constant with which a stated load loses its weight: it changes many times a second.
 	// After maxLoadAge it has none.
@@ -130,7 +130,7 @@
 	waiting      []*pending
 	queued       map[modelKey]time.Duration // prefill time of the queued calls
 	lastTicket   uint64
-	tokenCosts   map[string]time.Duration // prefill time per prompt token, by model
+	speeds       speed.Table
 	demand       map[string]*demand
 	adapterLoads []AdapterLoad
 	reservedAt   time.Time
@@ -171,6 +171,7 @@
 		e := s.engines[u.ID]
 		if e == nil || e.Boot != u.Boot {
 			e = newEngine(u, spec.KVTokens)
+			e.speed = s.speeds.Engine(u.Service, u.Instance())
 			s.engines[u.ID] = e
 			e.setModels(now, u.Models, nil)
 			s.index.outdated = true
@@ -288,7 +289,7 @@
 	p := newPending(now, q)
 	// Only the host that places models tests a quarantine, so that a fleet does not test it all at once.
 	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(&q.Spec) && s.Poison.Probe(now, &q.Spec)
-	p.prefill = s.unsharedPrefill(&q.Spec)
+	p.prefill = s.unsharedPrefill(&q)
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
 	if dec.Kind == Waiting {
@@ -362,7 +363,7 @@
 	}
 	t := s.newTicket(now, e, newPending(now, o.Request))
 	delete(s.tickets, t.id)
-	t.id, t.firstEvent = o.Grant.Ticket, o.FirstEvent
+	t.id, t.firstEvent, t.expected = o.Grant.Ticket, o.FirstEvent, 0
 	s.tickets[t.id] = t
 	e.addTicket(now, t)
 }
@@ -381,18 +382,9 @@
 		return
 	}
 	e := t.engine
+	s.measure(now, t)
 	e.startStream(now, t)
 	e.failures = 0
-	took := now.Sub(t.granted) - responseOverhead
-	if t.prefillTokens < costMinTokens || !t.noBacklog || took <= 0 {
-		return
-	}
-	model := t.request.Spec.Model
-	cost := s.tokenCost(model)
-	observed := took / time.Duration(t.prefillTokens)
-	ratio := min(float64(observed)/float64(cost), maxSlowdown)
-	e.slowdown += slowdownWeight * (ratio - e.slowdown)
-	s.tokenCosts[model] = cost + time.Duration(costWeight*float64(min(observed, 2*cost)-cost))
 }
 
 // Release ends a ticket; the outcome determines whether the engine gets further calls.
@@ -458,7 +450,6 @@
 	}
 	s.engines = make(map[string]*engine)
 	s.tickets = make(map[uint64]*ticket)
-	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
 	s.queued = make(map[modelKey]time.Duration)
 	s.lastTicket = s.FirstTicket
@@ -473,14 +464,6 @@
 }
 
 // unsharedPrefill returns the estimated prefill time of the prompt tokens that other calls do not share.
-func (s *Scheduler) unsharedPrefill(q *topo.CallSpec) time.Duration {
-	return time.Duration(q.UnsharedTokens()) * s.tokenCost(q.Model)
-}
-
-// tokenCost returns the estimated prefill time of one prompt token of the model.
-func (s *Scheduler) tokenCost(model string) time.Duration {
-	if c := s.tokenCosts[model]; c > 0 {
-		return c
-	}
-	return initialTokenCost
+func (s *Scheduler) unsharedPrefill(q *Request) time.Duration {
+	return time.Duration(q.Spec.UnsharedTokens()) * s.speeds.Cost(q.Service, q.Spec.Model)
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -124,6 +124,10 @@
 		Software string `cbor:"10,keyasint,omitempty"`
 		// Mixed is set if the engines of the service have several software versions and the stream can be continued.
 		Mixed bool `cbor:"11,keyasint,omitempty"`
+		// Speed and TokenCost are what the scheduler assumes: the speed of the engine as a multiple of the usual one,
+		// and the prefill time per token of the model at usual speed.
+		Speed     float64       `cbor:"12,keyasint,omitempty"`
+		TokenCost time.Duration `cbor:"13,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
@@ -164,11 +168,15 @@
 		request       Request
 		engine        *engine
 		granted       time.Time
-		prefill       time.Duration // estimated prefill time
+		prefill       time.Duration // estimated prefill time when the ticket was granted
 		prefillTokens int           // prompt tokens that are not cached on the engine
 		kvTokens      int           // KV cache that the call needs, in tokens
-		noBacklog     bool          // the engine had no prefill backlog when the ticket was granted
-		firstEvent    bool          // the first event has arrived
+		usualPrefill  time.Duration // prefill on an engine of usual speed
+		// expected is the time until the first event that the ticket was granted for, on an engine of usual speed; 0 if
+		// the call is not used as a measurement.
+		expected   time.Duration
+		noBacklog  bool // the engine had no prefill backlog when the ticket was granted
+		firstEvent bool // the first event has arrived
 	}
 
 	// pending is a ticket request with its queue state.
@@ -180,6 +188,7 @@
 		delayedBy  string        // why statements of engines delayed the call, or empty
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
+		tokenCost  time.Duration // prefill time per token at usual speed, as of the last decision
 		probe      bool          // the call tests a quarantine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
 	}
