Place replicas by the speed of engines, and send no call to a full one

Cause: placement counted replicas, so that one on an engine of factor 0.55 stood for one of 1.2. An engine without a slot or memory for a call only got a worse score: a call was sent to it when the backlog of the other replica was over 2 s.

Change: the planner weighs replicas by the usual speed of their engines, and prefers fast engines for models with load. The scheduler chooses a full engine only if no other replica has room, and divides the queue by the sum of the replicas' speeds.

Result: TestFullEngineGetsNoCalls fails without the change (both cases granted to the full engine).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -109,6 +109,7 @@
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
 	notices := &notice.Table{Changed: h.noticeChanged, Malformed: h.noticeMalformed}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
+	h.tickets.publishSpeeds()
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
 	h.streams = &streamStore{
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -240,6 +240,7 @@
 		e.Calls[m] = r.tickets.scheduler.Calls(e.ID, m)
 	}
 	e.Backlog = r.tickets.scheduler.Backlog(now, e.ID)
+	e.Speed = r.tickets.scheduler.UsualSpeed(e.ID)
 	r.tickets.mu.Unlock()
 	return e
 }
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -37,7 +37,7 @@
 	var best eviction
 	for i := range s.residents {
 		v := &s.residents[i]
-		load, ok := t.mayEvict(v, loadTime)
+		load, ok := t.mayEvict(v, s.speed(), loadTime)
 		if ok && (best.victim == nil || load < best.victimLoad) {
 			best = eviction{v.target, load}
 		}
@@ -45,9 +45,9 @@
 	return best, best.victim != nil
 }
 
-// mayEvict reports whether a replica of v may be evicted for one of t, and returns the load that each remaining replica
-// of v would carry, or that the eviction of the last one counts as.
-func (t *target) mayEvict(v *resident, loadTime time.Duration) (victimLoad float64, ok bool) {
+// mayEvict reports whether a replica of v on an engine of that speed may be evicted for one of t, and returns the load
+// that each remaining replica of v would carry, or that the eviction of the last one counts as.
+func (t *target) mayEvict(v *resident, speed float64, loadTime time.Duration) (victimLoad float64, ok bool) {
 	if v.replicas < 2 {
 		if v.calls > 0 || v.waiting > 0 || v.age < minLastResidency || v.age < minResidency && !t.unserved {
 			return 0, false
@@ -57,13 +57,14 @@
 	if !t.unserved && (v.calls > 0 || v.age < minResidency && v.load > idleLoad) {
 		return 0, false
 	}
-	return t.outranks(v.target)
+	return t.outranks(v.target, speed)
 }
 
-// outranks reports whether a replica of v may be evicted for one of t although t has fewer calls, and returns the load
-// that each remaining replica of v would carry. The replica must not be the last one of v.
-func (t *target) outranks(v *target) (victimLoad float64, ok bool) {
-	after := v.load / float64(v.replicas-1)
+// outranks reports whether a replica of v on an engine of that speed may be evicted for one of t although t has fewer
+// calls, and returns the load that each remaining replica of v would carry, on engines of usual speed. The replica must
+// not be the last one of v.
+func (t *target) outranks(v *target, speed float64) (victimLoad float64, ok bool) {
+	after := v.load / max(v.capacity-speed, minSpeed)
 	switch t.class() {
 	case overdue:
 		// Any model with another replica makes room, whatever its load.
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -18,6 +18,11 @@
 	idleLoad = 0.01
 	// victimPenalty weighs the victim's load in the choice of an engine: a load of 1 counts as this much load time.
 	victimPenalty = 10 * time.Second
+	// speedPenalty weighs the speed of an engine in its choice for a model with a load of 1 or more: twice the time of
+	// the work on an engine of usual speed counts as this much load time.
+	speedPenalty = 2 * time.Second
+	// minSpeed bounds how much the speed of an engine counts, and its inverse likewise.
+	minSpeed = 0.25
 	// joinGracePeriod is how long unused models without a replica are not loaded after an engine has joined. Live
 	// engines need about two seconds to register after their start or after an outage of the store.
 	joinGracePeriod = 2500 * time.Millisecond
@@ -35,6 +40,7 @@
 		InRAM     []string       // models whose weights are in the memory of the machine
 		OnDisk    []string       // models whose weights are on the disk of the machine
 		Backlog   time.Duration  // prefill backlog
+		Speed     float64        // as a multiple of the usual one; 0 means usual
 	}
 
 	// Order is one load or unload of a model.
@@ -217,7 +223,8 @@
 }
 
 // addReplica returns the order for a further replica of the model on the engine with the lowest cost: the sum of load
-// time, prefill backlog and weighted victim load. If the memory does not suffice, the order unloads a victim instead.
+// time, prefill backlog, weighted victim load and slowness. If the memory does not suffice, the order unloads a victim
+// instead.
 func (r *round) addReplica(t *target) (Order, bool) {
 	best, ev := r.bestSite(t)
 	if best == nil {
@@ -225,9 +232,11 @@
 	}
 	best.ordered = true
 	t.replicas++
+	t.capacity += best.speed()
 	t.unserved = false
 	if v := ev.victim; v != nil {
 		v.replicas--
+		v.capacity -= best.speed()
 		// Count the replica from the start of the unload; otherwise every engine would evict a model for it.
 		r.reservedFor[best.ID] = t.model.Name
 		return Order{Engine: best.ID, Model: v.model.Name, Unload: true}, true
@@ -273,6 +282,7 @@
 			continue
 		}
 		cost := loadTime + s.Backlog + time.Duration(ev.victimLoad*float64(victimPenalty))
+		cost += time.Duration(min(t.load, 1) * (1/s.speed() - 1) * float64(speedPenalty))
 		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
 			best, bestEviction, bestCost = s, ev, cost
 		}
@@ -280,6 +290,14 @@
 	return best, bestEviction
 }
 
+// speed returns the speed of the engine as a multiple of the usual one.
+func (e *Engine) speed() float64 {
+	if e.Speed <= 0 {
+		return 1
+	}
+	return min(max(e.Speed, minSpeed), 1/minSpeed)
+}
+
 // adapterMemory returns the memory in MB that an engine's adapters may take at most.
 func (p *Planner) adapterMemory() float64 {
 	largest := 0.0
--- a/internal/place/target.go
+++ b/internal/place/target.go
@@ -36,6 +36,7 @@
 		model       *topo.Model
 		index       int           // position in the spec
 		replicas    int           // loaded, loading, or with memory being freed for them
+		capacity    float64       // sum of the speeds of their engines
 		load        float64       // offered load in engine-seconds per second
 		callRate    float64       // calls per second
 		waiting     int           // waiting calls
@@ -59,10 +60,12 @@
 		for _, name := range engines[i].replicas() {
 			if t := out[name]; t != nil {
 				t.replicas++
+				t.capacity += engines[i].speed()
 			}
 		}
 		if t := out[p.reservedFor[engines[i].ID]]; t != nil {
 			t.replicas++
+			t.capacity += engines[i].speed()
 		}
 	}
 	if p.unservedSince == nil {
@@ -120,7 +123,7 @@
 }
 
 // claim returns how much the model's need weighs against victims, within its class: the waiting calls, which count for
-// more the longer the model has been unserved, or the load per replica.
+// more the longer the model has been unserved, or the load per replica of usual speed.
 func (t *target) claim() float64 {
 	switch t.class() {
 	case unserved, overdue:
@@ -132,7 +135,7 @@
 }
 
 // priority returns how urgently the model needs a further replica; the highest value comes first. Models with replicas
-// are ordered by their load per replica.
+// are ordered by their load per replica of usual speed.
 func (t *target) priority() float64 {
 	const unservedFirst, noReplica, notRequested = 1000.0, 100.0, 0.001
 	switch t.class() {
@@ -143,5 +146,5 @@
 	case unused:
 		return notRequested
 	}
-	return t.load / float64(t.replicas)
+	return t.load / t.capacity
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -19,6 +19,8 @@
 	delay         time.Duration // time for which the engine's statements allow no call
 	limited       bool          // the delay is that of the engine's limit
 	evict         *topo.Adapter // adapter to unload first, or nil
+	full          bool          // the engine has no slot or no memory left for the call
+	avoid         bool          // only the score tells whether the engine is better than a full one
 }
 
 // decide grants a ticket for a call, leaves it queued or rejects it.
@@ -36,16 +38,16 @@
 	if dec, ok := s.waitForAdapter(now, p); ok {
 		return dec
 	}
-	best, replicas := s.bestCandidate(now, p)
+	best, speeds := s.bestCandidate(now, p)
 	if best != nil && best.waitForDecode && now.Equal(p.arrived) {
-		if queued := s.queuedPrefill(p, replicas); best.ttft+queued > p.maxQueueTime(left) {
+		if queued := s.queuedPrefill(p, speeds); best.ttft+queued > p.maxQueueTime(left) {
 			return s.reject(p, ReasonOverload, queued)
 		}
 	}
 	switch {
 	case best != nil && best.delay > 0:
 		return s.waitForEngine(p, best, left)
-	case best == nil && replicas == 0:
+	case best == nil && speeds == 0:
 		return s.waitForModel(now, p, left)
 	case best == nil:
 		return s.waitOrReject(now, p, left)
@@ -84,27 +86,36 @@
 	return s.grant(now, p, &candidate{engine: e}), true
 }
 
-// bestCandidate returns the candidate with the lowest score, and the number of replicas of the model that are in
-// service.
-func (s *Scheduler) bestCandidate(now time.Time, p *pending) (*candidate, int) {
+// bestCandidate returns the candidate with the lowest score, and the sum of the speeds of the replicas of the model
+// that are in service. An engine without room for the call is chosen only if no other has room.
+func (s *Scheduler) bestCandidate(now time.Time, p *pending) (best *candidate, speeds float64) {
 	s.reserveEngines(now)
 	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
-	var best *candidate
-	replicas := 0
+	var withRoom *candidate
 	for _, e := range s.holders(p.modelKey()) {
 		if !s.serves(now, e, p.Spec.Model) || !p.fits(e) {
 			continue
 		}
-		replicas++
+		speeds += 1 / e.currentSlowdown(now)
 		c := s.evaluate(now, p, e)
 		if c == nil {
 			continue
 		}
-		if best == nil || c.score < best.score || c.score == best.score && e.ID < best.engine.ID {
+		if c.betterThan(best) {
 			best = c
 		}
+		if !c.full && !c.avoid && c.betterThan(withRoom) {
+			withRoom = c
+		}
+	}
+	if best != nil && best.full && withRoom != nil {
+		best = withRoom
 	}
-	return best, replicas
+	return best, speeds
+}
+
+func (c *candidate) betterThan(other *candidate) bool {
+	return other == nil || c.score < other.score || c.score == other.score && c.engine.ID < other.engine.ID
 }
 
 // evaluate returns the estimates for the call on an engine, or nil if the engine cannot take the call now.
@@ -115,6 +126,7 @@
 	c.ttft = e.prefillBacklog(now) + prefill + responseOverhead
 	if c.delay, c.limited = s.delay(now, p, e); c.delay > 0 {
 		c.ttft += c.delay
+		c.avoid = true
 	}
 	if p.Spec.Adapter != "" {
 		delay, ok := s.adapterDelay(now, p, e, c)
@@ -130,9 +142,10 @@
 	}
 	if slices.Contains(p.Tried, e.ID) {
 		c.score += overloadPenalty
+		c.avoid = true
 	}
 	full := e.kvTokens+c.prefillTokens+p.Spec.OutputTokens > int(maxMemoryShare*float64(e.kvTotal))
-	if full || e.Slots > 0 && len(e.tickets) >= e.Slots {
+	if c.full = full || e.Slots > 0 && len(e.tickets) >= e.Slots; c.full {
 		c.score += overloadPenalty
 		c.ttft += e.prefillBacklog(now)
 	}
@@ -219,6 +232,7 @@
 		return delay, true
 	}
 	if s.PlacementFrom.IsZero() {
+		c.avoid = true
 		return overloadPenalty, true
 	}
 	if now.Before(e.noAdapterLoadsUntil) || now.Before(s.PlacementFrom) {
@@ -339,9 +353,13 @@
 	return Decision{Kind: Waiting, Call: p.Call}
 }
 
-// queuedPrefill estimates the prefill time of the queued calls for the call's model, per replica.
-func (s *Scheduler) queuedPrefill(p *pending, replicas int) time.Duration {
-	return s.queued[p.modelKey()] / time.Duration(max(replicas, 1))
+// queuedPrefill estimates the prefill time of the queued calls for the call's model on its replicas, with the sum of
+// their speeds.
+func (s *Scheduler) queuedPrefill(p *pending, speeds float64) time.Duration {
+	if speeds == 0 {
+		return s.queued[p.modelKey()]
+	}
+	return scale(1/speeds, s.queued[p.modelKey()])
 }
 
 // placementFrom returns the time from which on models and adapters may be loaded for the call.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -79,8 +79,8 @@
 	minReservedReplicas = 3
 	// reserveInterval is the minimum time between two updates of the set of reserved engines.
 	reserveInterval = 500 * time.Millisecond
-	// overloadPenalty is added to the score of an engine that lacks the memory or a slot for the call, that was tried
-	// before, or that lacks the adapter while no adapters are placed.
+	// overloadPenalty is added to the score of an engine that was tried before, that lacks the adapter while no
+	// adapters are placed, or that lacks the memory or a slot for the call while no other replica has room.
 	overloadPenalty = 2 * time.Second
 	// initialBackoff and maxBackoff bound how long an engine gets no calls after failures.
 	initialBackoff = 150 * time.Millisecond
--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -300,3 +300,33 @@
 		})
 	}
 }
+
+// Guards against calls that wait inside a full engine although another replica has room, because its backlog or its
+// domain makes its score worse.
+func TestFullEngineGetsNoCalls(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fill  sched.Request // sent to e0 as often as it has slots or memory for
+		times int
+	}{
+		{"no slot", call("fill", 100), 8},
+		{"no memory", call("fill", 88_000), 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler(2)
+			restore := func(engine string, q sched.Request, first bool) {
+				id := uint64(1000 + s.Calls("e0", "m") + 100*s.Calls("e1", "m"))
+				s.RestoreTicket(start, sched.OpenTicket{
+					Request: q, Grant: sched.Grant{Ticket: id, Engine: engine}, FirstEvent: first,
+				})
+			}
+			for range tt.times {
+				restore("e0", tt.fill, true)
+			}
+			restore("e1", call("busy", 82_000), false)
+			if got := s.Schedule(start, call("a", 5000)); got.Kind == sched.Granted && got.Grant.Engine == "e0" {
+				t.Errorf("granted the full engine: %+v", got)
+			}
+		})
+	}
+}
