Send the reference of speeds with them

Cause: a speed is a multiple of the median of its service as the sender knows it. A follower with estimates of other engines has another median, so that it combined speeds and costs of different references.

Change: a grant and an estimate carry the cost per token that the speed refers to. The receiver converts to its own reference, or takes over that of the sender if it has no measurements of its own.

The hello test in internal/host checks that a granted speed reaches the new leader.

--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -317,10 +318,13 @@
 	})
 }
 
-// Guards against a new leader that does not know the streams that began at the hosts that follow it.
+// Guards against a new leader that does not know the streams that began at the hosts that follow it, nor the speeds
+// that the leader before it granted them with.
 func TestFollowerTellsItsStreams(t *testing.T) {
 	leader, host := streamTickets(&stub.Store{}, "v1", "v2"), streamTickets(&stub.Store{}, "v1", "v2")
 	begin(host, host, "a", "v1")
+	grant := sched.Grant{Ticket: 9, Engine: "slow", Boot: 3, Speed: 0.5, BaseCost: 26 * time.Microsecond}
+	host.restore(sched.Request{Service: "llm"}, sched.Decision{Kind: sched.Granted, Grant: grant})
 	ours, theirs := net.Pipe()
 	done := make(chan struct{})
 	go func() {
@@ -342,4 +346,8 @@
 	if got := takeUp(t, leader, "a"); got != "v1" {
 		t.Errorf("take-up: %q, want v1", got)
 	}
+	got := leader.scheduler.Speeds(time.Now())
+	if len(got) != 1 || got[0].Engine != (topo.Instance{ID: "slow", Boot: 3}) || math.Abs(got[0].Speed-0.5) > 0.01 {
+		t.Errorf("speeds at the new leader %+v, want one of 0.5", got)
+	}
 }
--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -10,8 +10,8 @@
 // LearnGrant keeps the speed and the cost that another scheduler assumed in a grant.
 func (s *Scheduler) LearnGrant(now time.Time, q *Request, g *Grant) {
 	s.speeds.Import(now, []speed.Estimate{
-		{Engine: topo.Instance{ID: g.Engine, Boot: g.Boot}, Service: q.Service, Speed: g.Speed},
-		{Service: q.Service, Model: q.Spec.Model, Cost: g.TokenCost},
+		{Engine: topo.Instance{ID: g.Engine, Boot: g.Boot}, Service: q.Service, Speed: g.Speed, Base: g.BaseCost},
+		{Service: q.Service, Model: q.Spec.Model, Cost: g.TokenCost, Base: g.BaseCost},
 	})
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -124,10 +124,11 @@
 		Software string `cbor:"10,keyasint,omitempty"`
 		// Mixed is set if the engines of the service have several software versions and the stream can be continued.
 		Mixed bool `cbor:"11,keyasint,omitempty"`
-		// Speed and TokenCost are what the scheduler assumes: the speed of the engine as a multiple of the usual one,
-		// and the prefill time per token of the model at usual speed.
+		// Speed, TokenCost and BaseCost are what the scheduler assumes: the speed of the engine as a multiple of the
+		// usual one, and the prefill time per token at usual speed, of the model and of one that was not measured.
 		Speed     float64       `cbor:"12,keyasint,omitempty"`
 		TokenCost time.Duration `cbor:"13,keyasint,omitempty"`
+		BaseCost  time.Duration `cbor:"14,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
--- a/internal/speed/export.go
+++ b/internal/speed/export.go
@@ -26,8 +26,9 @@
 	// Speed is the speed of the engine in its last measurement, Usual the one that it returns to.
 	Speed float64 `cbor:"4,keyasint,omitempty"`
 	Usual float64 `cbor:"5,keyasint,omitempty"`
-	// Cost is the prefill time per token.
+	// Cost is the prefill time per token of the model, Base that of the service, which speeds refer to.
 	Cost time.Duration `cbor:"6,keyasint,omitempty"`
+	Base time.Duration `cbor:"8,keyasint,omitempty"`
 	// Age is the time since the last measurement.
 	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
@@ -40,13 +41,14 @@
 			continue
 		}
 		engines = append(engines, Estimate{
-			Engine: topo.Instance{ID: id, Boot: e.boot}, Service: e.service.name,
+			Engine: topo.Instance{ID: id, Boot: e.boot}, Service: e.service.name, Base: e.service.cost(),
 			Speed: math.Exp(-e.log), Usual: math.Exp(-e.usual), Age: now.Sub(e.updated),
 		})
 	}
 	for k, m := range t.models {
 		models = append(models, Estimate{
-			Service: k.service, Model: k.model, Cost: t.Cost(k.service, k.model), Age: now.Sub(m.updated),
+			Service: k.service, Model: k.model, Cost: t.Cost(k.service, k.model), Base: t.Cost(k.service, ""),
+			Age: now.Sub(m.updated),
 		})
 	}
 	return append(newest(engines), newest(models)...)
@@ -64,28 +66,37 @@
 	for i := range list[:min(len(list), maxImport)] {
 		in := &list[i]
 		at := now.Add(-max(in.Age, 0))
+		base, ok := logarithm(in.Base.Seconds() / initialCost)
+		if in.Age > maxAge || !ok {
+			continue
+		}
+		s := t.service(in.Service)
+		if s.updated.IsZero() {
+			// A host without measurements of its own takes over the reference of the sender.
+			t.move(s, base-s.log)
+		}
 		switch {
-		case in.Age > maxAge:
 		case in.Model != "":
-			t.importModel(at, in)
+			t.importModel(at, base, in)
 		case in.Engine.ID != "":
-			t.importEngine(at, in)
+			t.importEngine(at, base-s.log, in)
 		}
 	}
 }
 
-func (t *Table) importModel(at time.Time, in *Estimate) {
+func (t *Table) importModel(at time.Time, base float64, in *Estimate) {
 	log, ok := logarithm(in.Cost.Seconds() / initialCost)
 	if !ok {
 		return
 	}
 	if m := t.model(modelKey{in.Service, in.Model}); at.After(m.updated) {
-		m.log, m.updated = log-t.service(in.Service).log, at
+		m.log, m.updated = log-base, at
 		m.variance, m.count = min(m.variance, priorVariance), m.count+1
 	}
 }
 
-func (t *Table) importEngine(at time.Time, in *Estimate) {
+// importEngine takes the estimate of an engine; offset is by how much the reference of the sender is slower.
+func (t *Table) importEngine(at time.Time, offset float64, in *Estimate) {
 	log, ok := logarithm(1 / in.Speed)
 	usual, known := logarithm(1 / in.Usual)
 	old := t.engines[in.Engine.ID]
@@ -96,11 +107,11 @@
 	if !at.After(e.updated) {
 		return
 	}
-	e.log, e.updated, e.off = log, at, 0
+	e.log, e.updated, e.off = log+offset, at, 0
 	e.variance, e.count = min(e.variance, priorVariance), e.count+1
 	e.settle()
 	if known {
-		e.usual = usual
+		e.usual = usual + offset
 	}
 }
 
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -84,7 +84,8 @@
 	return e
 }
 
-// Cost returns the estimated prefill time of one prompt token of a model on an engine of usual speed.
+// Cost returns the estimated prefill time of one prompt token of a model on an engine of usual speed; that of a model
+// without measurements is the reference of the speeds of the service.
 func (t *Table) Cost(name, model string) time.Duration {
 	log := 0.0
 	if s := t.services[name]; s != nil {
@@ -130,6 +131,11 @@
 	return s
 }
 
+// cost returns the prefill time per token that speeds refer to.
+func (s *service) cost() time.Duration {
+	return time.Duration(initialCost * math.Exp(s.log) * float64(time.Second))
+}
+
 // updateMedian moves the median of the usual speeds of a service from its engines to its cost, if the last time is long
 // enough ago.
 func (t *Table) updateMedian(now time.Time, s *service) {
@@ -148,10 +154,18 @@
 	}
 	slices.Sort(list)
 	median := (list[len(list)/2] + list[(len(list)-1)/2]) / 2
-	s.log += median
+	t.move(s, median)
+}
+
+// move changes the reference of the speeds of a service and leaves all expected times as they are.
+func (t *Table) move(s *service, log float64) {
+	if log == 0 {
+		return
+	}
+	s.log += log
 	for _, e := range t.engines {
 		if e.service == s && (e.count > 0 || e.prior) {
-			e.log, e.usual = e.log-median, e.usual-median
+			e.log, e.usual = e.log-log, e.usual-log
 			e.factor = math.Exp(e.log)
 		}
 	}
--- a/internal/speed/table_test.go
+++ b/internal/speed/table_test.go
@@ -85,20 +85,25 @@
 		}
 	}
 	before := to.Engine("llm", id(0)).Slowness(now)
-	to.Import(now, []speed.Estimate{
-		{Engine: id(0), Service: "llm", Speed: 5, Age: time.Minute},
-		{Engine: id(0), Service: "llm", Speed: math.NaN()},
-		{Engine: id(0), Service: "llm"},
-		{Engine: id(0), Service: "llm", Speed: -1},
+	for _, in := range []speed.Estimate{
+		{Engine: id(0), Speed: 5, Age: time.Minute},
+		{Engine: id(0), Speed: math.NaN()},
+		{Engine: id(0)},
+		{Engine: id(0), Speed: -1},
 		{Model: "m1", Cost: -1},
-		{Engine: topo.Instance{ID: "e0"}, Service: "llm", Speed: 5},
-		{Engine: id(0), Service: "llm", Speed: 1e9},
-	})
+		{Engine: topo.Instance{ID: "e0"}, Speed: 5},
+		{Engine: id(0), Speed: 1e9},
+	} {
+		in.Service, in.Base = "llm", list[0].Base
+		to.Import(now, []speed.Estimate{in})
+	}
 	if got := to.Engine("llm", id(0)).Slowness(now); got != before {
 		t.Errorf("slowness %.3f, want %.3f", got, before)
 	}
 	for i := range 2500 {
-		to.Import(now.Add(time.Second), []speed.Estimate{{Engine: id(i), Speed: 2}, {Model: "n" + id(i).ID, Cost: 20_000}})
+		to.Import(now.Add(time.Second), []speed.Estimate{
+			{Engine: id(i), Speed: 2, Base: 20_000}, {Model: "n" + id(i).ID, Cost: 20_000, Base: 20_000},
+		})
 	}
 	if n := len(to.Export(now)); n != 128 {
 		t.Errorf("an export has %d estimates, want 64 of engines and 64 of models", n)
