Prefer a replica with room only if it begins in time

Cause: a call whose only replica with room had a backlog longer than the call may wait was rejected, although the full engine would have served it as before.

Change: a replica has room only if it begins within the time that the call may wait in the queue.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -87,11 +87,12 @@
 }
 
 // bestCandidate returns the candidate with the lowest score, and the sum of the speeds of the replicas of the model
-// that are in service. An engine without room for the call is chosen only if no other has room.
+// that are in service. An engine without room for the call is chosen only if no other has room and begins in time.
 func (s *Scheduler) bestCandidate(now time.Time, p *pending) (best *candidate, speeds float64) {
 	s.reserveEngines(now)
 	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
 	var withRoom *candidate
+	limit := p.maxQueueTime(p.deadline.Sub(now))
 	for _, e := range s.holders(p.modelKey()) {
 		if !s.serves(now, e, p.Spec.Model) || !p.fits(e) {
 			continue
@@ -104,7 +105,7 @@
 		if c.betterThan(best) {
 			best = c
 		}
-		if !c.full && !c.avoid && c.betterThan(withRoom) {
+		if !c.full && !c.avoid && c.ttft <= limit && c.betterThan(withRoom) {
 			withRoom = c
 		}
 	}
--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -301,16 +301,19 @@
 	}
 }
 
-// Guards against calls that wait inside a full engine although another replica has room, because its backlog or its
-// domain makes its score worse.
+// Guards against calls that wait inside a full engine although another replica with a long backlog has room, and against
+// calls that are rejected because that backlog is too long for them.
 func TestFullEngineGetsNoCalls(t *testing.T) {
 	for _, tt := range []struct {
-		name  string
-		fill  sched.Request // sent to e0 as often as it has slots or memory for
-		times int
+		name      string
+		fill      sched.Request // sent to e0 as often as it has slots or memory for
+		times     int
+		remaining time.Duration
+		want      string
 	}{
-		{"no slot", call("fill", 100), 8},
-		{"no memory", call("fill", 88_000), 1},
+		{"no slot", call("fill", 100), 8, 5 * time.Second, "e1"},
+		{"no memory", call("fill", 88_000), 1, 5 * time.Second, "e1"},
+		{"no slot, the other begins too late", call("fill", 100), 8, 2200 * time.Millisecond, "e0"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newScheduler(2)
@@ -324,8 +327,10 @@
 				restore("e0", tt.fill, true)
 			}
 			restore("e1", call("busy", 82_000), false)
-			if got := s.Schedule(start, call("a", 5000)); got.Kind == sched.Granted && got.Grant.Engine == "e0" {
-				t.Errorf("granted the full engine: %+v", got)
+			q := call("a", 5000)
+			q.Remaining = tt.remaining
+			if got := s.Schedule(start, q); got.Grant.Engine != tt.want {
+				t.Errorf("%+v, want a grant of %s", got, tt.want)
 			}
 		})
 	}
