Run the simulations of uneven engines side by side

Cause: the tests of internal/sched took 166 s with -race -cpu 1 on a busy machine.

Change: the simulations run in parallel, and step waiting calls every 8 ms instead of 4. Loads and bounds stay.

--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -92,7 +92,7 @@
 		for due += perS * simTick.Seconds(); due >= 1; due-- {
 			m.arrive()
 		}
-		if m.now.UnixMilli()%4 == 0 {
+		if m.now.UnixMilli()%8 == 0 {
 			for _, dec := range m.s.Step(m.now) {
 				m.decided(dec)
 			}
@@ -216,6 +216,7 @@
 		{"even", usualSpeed},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			m := newSimulation(11, 140, tt.speed)
 			m.run(250, 5*time.Second)
 			m.run(600, 15*time.Second)
@@ -226,6 +227,7 @@
 
 // Guards against a new leader that knows nothing of the engines' speed, in the middle of a wave on 140 engines.
 func TestEstimatesAfterChangeOfLeader(t *testing.T) {
+	t.Parallel()
 	m := newSimulation(11, 140, unevenSpeed)
 	m.run(250, 5*time.Second)
 	m.run(600, 7*time.Second)
@@ -251,6 +253,7 @@
 		{"six times as slow", 1.0 / 6, 70, 30 * time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			var calls []*simCall
 			total, got := 0, 0
 			for seed := range uint64(3) {
