--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,6 +111,7 @@
 	h.cache.setRevokeTime(s.RevokeTime)
 	notices := &notice.Table{Changed: h.noticeChanged, Malformed: h.noticeMalformed}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
+	h.tickets.publishSpeeds()
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
 	h.limitWorkspaces()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
@@ -100,6 +101,8 @@
 		Config *fresh.State `cbor:"21,keyasint,omitempty"`
 		// Quota is what Quota tells.
 		Quota *quota.Message `cbor:"22,keyasint,omitempty"`
+		// Speeds holds with Hello the newest estimates of the speed of engines and the cost of models at the sender.
+		Speeds []speed.Estimate `cbor:"23,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
--- a/internal/sched/compete.go
+++ b/internal/sched/compete.go
@@ -84,7 +84,7 @@
 // compete decides on a call that has to wait for engines because other workspaces want them too. The call waits in the
 // fair order while its model's engines are full, and is rejected if it cannot be served in time after the calls that
 // go before it. Calls without a workspace may still be sent to full engines.
-func (s *Scheduler) compete(now time.Time, p *pending, best *candidate, replicas int) (Decision, bool) {
+func (s *Scheduler) compete(now time.Time, p *pending, best *candidate, speeds float64) (Decision, bool) {
 	if best == nil || best.delay > 0 {
 		return Decision{}, false
 	}
@@ -104,7 +104,7 @@
 	wait := s.timeAhead(now, p)
 	if !best.full {
 		// Engines with room are held up by prefill only.
-		wait = min(wait, s.queuedPrefill(p, replicas))
+		wait = min(wait, s.queuedPrefill(p, speeds))
 	}
 	limit := p.maxQueueTime(p.deadline.Sub(p.arrived))
 	if arriving && best.full && p.minTTFT <= p.TargetLatency {
@@ -154,7 +154,7 @@
 		}
 	}
 	replicas := max(len(s.holders(p.modelKey())), 1)
-	return scale(p.ahead/float64(replicas), s.tokenCost(p.Spec.Model))
+	return scale(p.ahead/float64(replicas), p.tokenCost)
 }
 
 // charge adds the work of a granted call to what its workspace got from the engine.
