--- a/internal/proxy/cut_test.go
+++ b/internal/proxy/cut_test.go
@@ -29,7 +29,8 @@
 		Client: &plain.Client{}, RetryBudget: &budget.Budget{}, Stats: &stats.Set{},
 		IsLeaving: func(string) bool { return false },
 	}
-	svc := envdoc.Service{Name: "s", TimeoutMS: 10_000, Upstreams: []envdoc.Upstream{{Name: "u", URL: "http://" + addr}}}
+	ups := []envdoc.Upstream{{Name: "u", URL: "http://" + addr}}
+	svc := envdoc.Service{Name: "s", TimeoutMS: 10_000, Upstreams: ups}
 	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		err := p.Forward(r.Context(), w, apigw.ServiceRequest{
 			Method: http.MethodPost, Header: http.Header{}, Service: svc, Body: make([]byte, n),
