Do not replay a stored response whose status is none

The buffer of non-idempotent calls takes any status, so an earlier version may have stored a status below 100, which ends the handler in a panic when it is replayed. The caller now gets 502 with an unknown outcome.

--- a/internal/apigw/write.go
+++ b/internal/apigw/write.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/idem"
+	"github.com/figreel/figreel/internal/intact"
 	"github.com/figreel/figreel/internal/relay"
 	"github.com/figreel/figreel/pkg/answer"
 )
@@ -83,7 +84,14 @@
 	return &idem.Response{Status: http.StatusOK, ContentType: contentTypeJSON, Body: body}, nil
 }
 
+// writeResponse sends a complete response, which may be the stored one of an earlier call. A stored status that no
+// response has would end the handler in a panic.
 func writeResponse(w http.ResponseWriter, resp *idem.Response) error {
+	if err := intact.CheckStatus(resp.Status); err != nil {
+		return &answer.Error{
+			Status: http.StatusBadGateway, Code: "answer_invalid", Outcome: answer.Unknown, Message: err.Error(),
+		}
+	}
 	w.Header().Set("Content-Type", resp.ContentType)
 	w.WriteHeader(resp.Status)
 	_, _ = w.Write(resp.Body)
