Limit the connections, the heads and the messages of clients that nobody controls

Change: package ingres counts the connections of each port and the bytes and fields of each head while they arrive, against a share of the memory; where room is short it closes idle connections and those with slow heads first, else it refuses with 503 or closes. Heads over the limits get 431. Accept errors are counted and followed by a pause. All HTTP ports of figreel host and figreel serve use it, and link.Listen, which bounds messages and the time until the first one. The limits of the configuration are followed as they change. limits.max_fds is read. figreel serve sets the memory limit of the runtime as figreel host does.

--- a/cmd/figreel/host.go
+++ b/cmd/figreel/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/figreel/figreel/internal/host"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/platform"
 )
@@ -26,6 +28,8 @@
 	logPollInterval = 20 * time.Millisecond
 	// metricsTimeout limits the time to read a metrics request, and the time to write its response.
 	metricsTimeout = 5 * time.Second
+	// metricsShare is the share of the descriptors of the process that connections to the metrics may take.
+	metricsShare = 0.04
 )
 
 func hostCommand() *cli.Command {
@@ -67,19 +71,25 @@
 	}
 	h := &host.Host{
 		Settings: settings, Platform: platform.New(settings, pool, metrics.CountKVCall), Pool: pool, Stats: metrics,
-		Log: log, Stop: stop, Reload: watchSettings(ctx, file, log),
+		Log: log, Stop: stop, Reload: watchSettings(ctx, file, log), Gate: settings.NewGate(metrics, log),
 	}
-	go serveMetrics(ctx, settings.MetricsAddr, log)
+	go serveMetrics(ctx, settings.MetricsAddr, h.Gate, log)
 	return h.Run(ctx)
 }
 
 // serveMetrics serves the metrics over HTTP; if that fails, the host runs on without.
-func serveMetrics(ctx context.Context, addr string, log zerolog.Logger) {
+func serveMetrics(ctx context.Context, addr string, gate *ingres.Gate, log zerolog.Logger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	srv := &http.Server{Addr: addr, Handler: mux, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout}
+	srv := &http.Server{Handler: mux, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout}
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	bound, err := net.Listen("tcp", addr)
+	if err == nil {
+		l := gate.Wrap(bound, ingres.Port{Name: "metrics", Share: metricsShare})
+		l.Prepare(srv)
+		err = srv.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		log.Error().Err(err).Str("addr", addr).Msg("metrics server failed")
 	}
 }
--- a/cmd/figreel/main.go
+++ b/cmd/figreel/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/figreel/figreel/internal/config"
+	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/opcli"
 	"github.com/figreel/figreel/internal/serve"
 	"github.com/figreel/figreel/pkg/find"
@@ -63,6 +64,7 @@
 	if err != nil {
 		return errors.Wrap(err, "log level")
 	}
+	mem.LimitRuntime(cfg.Limits.MemoryMB << 20)
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", cfg.Name).Logger()
 	host := &serve.Host{Config: cfg, Log: log, Stop: stop}
 	return host.Run(ctx)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/entry"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
@@ -41,11 +42,13 @@
 	closeTime = 250 * time.Millisecond
 	// minStop is the minimum time before a stopping host ends, for callers that have not learned that it stops.
 	minStop = 3500 * time.Millisecond
-	// maxHeaderBytes and headerTimeout limit a request's header, idleTimeout an idle connection of a caller. They are
-	// constants because the server starts before a configuration is known.
+	// maxHeaderBytes and headerTimeout limit a request's header, idleTimeout an idle connection of a caller, before a
+	// configuration is known.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
+	// callerShare is the share of the descriptors that connections of callers may take.
+	callerShare = 0.4
 )
 
 // Host is one running host; its exported fields are set before Run.
@@ -55,6 +58,8 @@
 	Pool     *h1.Pool
 	Stats    *stats.Set
 	Log      zerolog.Logger
+	// Gate limits the connections that callers and other machines open; Run sets it if it is nil.
+	Gate *ingres.Gate
 	// Stop delivers the signal that starts a graceful shutdown.
 	Stop <-chan os.Signal
 	// Reload delivers reloaded settings; only the seeds can change while the host runs.
@@ -153,6 +158,9 @@
 		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
 	h.limitMemory()
+	if h.Gate == nil {
+		h.Gate = s.NewGate(h.Stats, h.Log)
+	}
 }
 
 func (h *Host) start(ctx context.Context, failed chan<- error) {
@@ -177,10 +185,10 @@
 		<-callersClosed
 	}
 	servers := []func() error{
-		func() error { return link.Listen(ctx, h.Settings.Link, h.serveConn) },
+		func() error { return link.Listen(ctx, h.Settings.Link, h.Gate, h.serveConn) },
 		func() error {
 			return h.Platform.Serve(ctx, Endpoints{
-				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.DirectoryAddr, Ready: h.ready,
+				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.DirectoryAddr, Gate: h.Gate, Ready: h.ready,
 				Addresses: h.addresses,
 			})
 		},
@@ -201,14 +209,13 @@
 // serveCallers serves callers until ctx ends. Calls that have been read by then get their responses before it returns.
 func (h *Host) serveCallers(ctx context.Context) error {
 	lc := net.ListenConfig{KeepAliveConfig: h1.KeepAlive()}
-	l, err := lc.Listen(ctx, "tcp4", h.Settings.Front)
+	bound, err := lc.Listen(ctx, "tcp4", h.Settings.Front)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	srv := &http.Server{
-		Handler: h.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
-	}
+	l := h.Gate.Wrap(bound, ingres.Port{Name: "front", Share: callerShare, Limits: h.callerLimits})
+	srv := &http.Server{Handler: h.entry}
+	l.Prepare(srv)
 	closed := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -221,6 +228,14 @@
 	return nil
 }
 
+// callerLimits returns the limits of the active configuration, or constants before there is one.
+func (h *Host) callerLimits() topo.Limits {
+	if cfg := h.entry.Config(); cfg != nil {
+		return cfg.Limits
+	}
+	return topo.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // closeServer ends all calls and closes the server when they have got their responses, or after closeTime.
 func (h *Host) closeServer(srv *http.Server) {
 	h.entry.EndCalls()
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figreel/figreel/internal/entry"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -32,6 +33,7 @@
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
 		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
 		Memory        int64         // memory that the process may use, in bytes; 0 if it is unknown
+		Descriptors   int           // files that the process may open; 0 for the limit of the process
 		// RevokeTime is the time from a change of the configuration that removes a key until no call that was sent with
 		// it may be executed, also by hosts that the change has not reached; 0 if only the others are bound.
 		RevokeTime time.Duration
@@ -71,6 +73,7 @@
 	Endpoints struct {
 		ReadyAddr     string
 		DirectoryAddr string
+		Gate          *ingres.Gate // limits of their connections
 		Ready         func() bool
 		// Addresses returns the addresses for callers of a failure domain, and for how long they may cache them.
 		Addresses func(domain string) ([]string, time.Duration)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
 	"github.com/figreel/figreel/internal/sched"
@@ -109,6 +110,7 @@
 		dec *cbor.Decoder
 		mu  sync.Mutex // held while a message is sent
 		enc *cbor.Encoder
+		in  *inbound // nil for a connection that this host has opened
 	}
 )
 
@@ -121,13 +123,15 @@
 	return NewConn(nc), nil
 }
 
-// Listen accepts connections of other hosts until ctx ends and calls serve for each in its own goroutine.
-func Listen(ctx context.Context, addr string, serve func(*Conn)) error {
+// Listen accepts connections of other hosts until ctx ends and calls serve for each in its own goroutine. It bounds the
+// connections and their messages by the gate.
+func Listen(ctx context.Context, addr string, gate *ingres.Gate, serve func(*Conn)) error {
 	lc := net.ListenConfig{KeepAliveConfig: h1.KeepAlive(), Control: h1.SetUserTimeout}
-	l, err := lc.Listen(ctx, "tcp4", addr)
+	bound, err := lc.Listen(ctx, "tcp4", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen for hosts")
 	}
+	l := gate.Wrap(bound, ingres.Port{Name: portName, Share: portShare, Raw: true})
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	for {
 		nc, err := l.Accept()
@@ -137,7 +141,7 @@
 			}
 			return errors.Wrap(err, "accept connection of host")
 		}
-		go serve(NewConn(nc))
+		go serve(newInbound(nc, gate))
 	}
 }
 
@@ -159,8 +163,14 @@
 func (c *Conn) Receive() (*Message, error) {
 	var m Message
 	if err := c.dec.Decode(&m); err != nil {
+		if c.in != nil {
+			c.in.failed(err)
+		}
 		return nil, errors.Wrap(err, "receive from host")
 	}
+	if c.in != nil {
+		c.dec = c.in.received(c.dec)
+	}
 	return &m, nil
 }
 
--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -15,6 +15,10 @@
 	ResponseShare = 0.15
 	// ReportShare is the share that may hold responses of engines to orders and requests for reports.
 	ReportShare = 0.05
+	// HeadShare is the share that may hold the heads of the requests of callers.
+	HeadShare = 0.15
+	// MessageShare is the share that may hold messages of other hosts while they are received.
+	MessageShare = 0.05
 
 	// minBuffer is the size of the first buffer of ReadAll, in bytes.
 	minBuffer = 512
@@ -51,6 +55,9 @@
 // Used returns the number of bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
+// Held returns the number of bytes of the share.
+func (s *Share) Held() int64 { return s.held }
+
 // Take adds bytes to the share, and reports whether the budget has room for them; if not, it adds none.
 func (s *Share) Take(n int64) bool {
 	if s.Budget == nil {
--- a/internal/oper/server.go
+++ b/internal/oper/server.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/figreel/figreel/internal/docrev"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/wire"
 	"github.com/figreel/figreel/pkg/envdoc"
@@ -30,6 +31,8 @@
 	// Includes the time that a change may wait for the key-value service.
 	requestTimeout  = 15 * time.Second
 	shutdownTimeout = 5 * time.Second
+	// connectionShare is the share of the descriptors of the process that connections of operators may take.
+	connectionShare = 0.1
 	keyIDLength     = 8 // hexadecimal digits of a key's digest that identify it in revisions
 )
 
@@ -57,6 +60,7 @@
 		Drain func(ctx context.Context, d DrainRequest) error
 		Hosts func() []wire.Member
 		Stats *stats.Set
+		Gate  *ingres.Gate // limits the connections of the process; nil has the defaults
 		Log   zerolog.Logger
 	}
 
@@ -72,11 +76,15 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", s.Listen)
+	bound, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for the operator API")
 	}
+	listener := s.Gate.Wrap(bound, ingres.Port{
+		Name: "operators", Share: connectionShare, Encrypted: s.CertFile != "",
+	})
 	server := &http.Server{Handler: handler, ReadTimeout: readTimeout, WriteTimeout: 2 * requestTimeout}
+	listener.Prepare(server)
 	shutdownErr := make(chan error, 1)
 	cancelShutdown := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/internal/serve/build.go
+++ b/internal/serve/build.go
@@ -16,6 +16,7 @@
 	"github.com/figreel/figreel/internal/docrev"
 	"github.com/figreel/figreel/internal/engine"
 	"github.com/figreel/figreel/internal/idem"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/kvapi"
 	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/member"
@@ -53,6 +54,7 @@
 func (h *Host) build() error {
 	h.stats = &stats.Set{}
 	h.stats.Publish("figreel")
+	h.gate = &ingres.Gate{Memory: h.Config.Limits.MemoryMB << 20, Stats: h.stats, Log: h.Log}
 	h.loop = ctrl.New()
 	h.kv = &kvapi.Client{URL: h.Config.Platform.KVURL, Stats: h.stats}
 	h.engines = &engine.Client{}
--- a/internal/serve/host.go
+++ b/internal/serve/host.go
@@ -17,6 +17,7 @@
 	"github.com/figreel/figreel/internal/docrev"
 	"github.com/figreel/figreel/internal/engine"
 	"github.com/figreel/figreel/internal/idem"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/kvapi"
 	"github.com/figreel/figreel/internal/member"
 	"github.com/figreel/figreel/internal/oper"
@@ -36,6 +37,7 @@
 	Stop <-chan os.Signal
 
 	stats             *stats.Set
+	gate              *ingres.Gate
 	loop              *ctrl.Loop
 	kv                kvapi.Service
 	engines           engine.API
@@ -119,7 +121,7 @@
 	callers := &websrv.Server{
 		Name: "callers", Addr: h.Config.Callers.Listen, CertFile: h.Config.Callers.TLS.CertFile,
 		KeyFile: h.Config.Callers.TLS.KeyFile, Routes: h.callerAPI.Routes(), Stop: h.stopServers,
-		OnRejected: h.stats.CountRejection,
+		OnRejected: h.stats.CountRejection, Gate: h.gate,
 	}
 	wg.Go(func() { sendError(callers.Run(ctx), failed) })
 	if h.Config.Operators.Listen == "" {
--- a/internal/serve/operator.go
+++ b/internal/serve/operator.go
@@ -18,7 +18,7 @@
 		Name: h.Config.Name, Environment: h.Config.Environment, Listen: h.Config.Operators.Listen,
 		CertFile: h.Config.Operators.TLS.CertFile, KeyFile: h.Config.Operators.TLS.KeyFile,
 		KeySHA256: h.Config.Operators.KeySHA256, DocumentStore: h.replicator, Status: h.status, Drain: h.handleDrain,
-		Hosts: h.members.Live, Stats: h.stats, Log: h.Log,
+		Hosts: h.members.Live, Stats: h.stats, Gate: h.gate, Log: h.Log,
 	}
 }
 
--- a/internal/websrv/server.go
+++ b/internal/websrv/server.go
@@ -11,12 +11,16 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/figreel/figreel/internal/ingres"
 )
 
 const (
 	// readHeaderTimeout closes connections of slow senders before they occupy a handler.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
+	// connectionShare is the share of the descriptors of the process that connections of the server may take.
+	connectionShare = 0.5
 	// noForceQuit keeps go-zero's signal handler from ending the process. By default it does so 5.5 s after SIGTERM,
 	// but a graceful shutdown waits for calls in flight.
 	noForceQuit = 10 * 365 * 24 * time.Hour
@@ -29,6 +33,8 @@
 	CertFile string
 	KeyFile  string
 	Routes   []rest.Route
+	// Gate limits the connections of the process; nil has the defaults.
+	Gate *ingres.Gate
 	// OnRejected is called with the error code of each request that no route matches; it may be nil.
 	OnRejected func(code string)
 	// Stop is closed by the creator of the server to make it stop accepting connections.
@@ -42,11 +48,13 @@
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", s.Addr)
+	bound, err := net.Listen("tcp", s.Addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.Name)
 	}
+	l := s.Gate.Wrap(bound, ingres.Port{Name: s.Name, Share: connectionShare, Encrypted: s.CertFile != ""})
 	svr := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	l.Prepare(svr)
 	failed := make(chan error, 1)
 	go func() { failed <- s.serve(svr, l) }()
 	select {
