--- a/internal/ingres/listener.go
+++ b/internal/ingres/listener.go
@@ -234,8 +234,7 @@
 		if need > 0 {
 			share := mem.Share{Budget: l.gate.heads}
 			defer share.Release()
-			ended := func() bool { return r.Context().Err() != nil }
-			if !l.gate.reserve(&share, need, c, ended) {
+			if !l.reserve(&share, need, c, r) {
 				l.gate.Report(refusedHead, l.port.Name)
 				w.Header().Set("Retry-After", retryAfter)
 				refuseRequest(w, http.StatusServiceUnavailable, refusedHead)
@@ -246,6 +245,17 @@
 	})
 }
 
+// reserve takes room for the head of a request. Requests of HTTP/2 do not wait for it, because a connection may have
+// hundreds of them whose heads are in memory already.
+func (l *Listener) reserve(s *mem.Share, n int64, c *conn, r *http.Request) bool {
+	ended := func() bool { return r.Context().Err() != nil }
+	if r.ProtoMajor > 1 {
+		ok, _ := l.gate.tryReserve(s, n, c, ended)
+		return ok
+	}
+	return l.gate.reserve(s, n, c, ended)
+}
+
 func refuseRequest(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set("Connection", "close")
 	http.Error(w, reason, status)
