--- a/internal/ingres/conn.go
+++ b/internal/ingres/conn.go
@@ -74,7 +74,7 @@
 	g := c.l.gate
 	g.mu.Lock()
 	// Package net/http reads a single byte while a handler runs whose body is complete.
-	c.inBody = c.phase == serving && len(p) > 1 && !c.l.port.Encrypted
+	c.inBody = c.phase == serving && len(p) > 1 && !c.l.port.Encrypted && !c.l.port.Raw
 	early := c.early && c.phase == head
 	c.early = false
 	g.mu.Unlock()
@@ -96,6 +96,7 @@
 	g.mu.Lock()
 	if c.phase == serving {
 		c.body += len(b)
+		c.inBody = false
 		g.mu.Unlock()
 		return nil
 	}
--- a/internal/ingres/gate.go
+++ b/internal/ingres/gate.go
@@ -151,7 +151,8 @@
 	}
 	l.count++
 	if now := time.Now(); now.Sub(l.at) >= logInterval {
-		g.Log.Warn().Str("reason", reason).Str("port", port).Int("count", l.count).Msg("clients limited")
+		line := g.Log.Warn().Str("reason", reason).Str("port", port).Int("count", l.count)
+		go line.Msg("clients limited") // writing may block, and the caller holds g.mu
 		l.at, l.count = now, 0
 	}
 }
--- a/internal/ingres/gate_test.go
+++ b/internal/ingres/gate_test.go
@@ -241,6 +241,42 @@
 	}
 }
 
+// Guards against closing the connection of a host that has sent its first message and now waits.
+func TestEstablished(t *testing.T) {
+	bound, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := (&Gate{}).Wrap(bound, Port{Name: "p", Raw: true})
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp4", bound.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := nc.(*conn)
+	later := time.Now().Add(time.Hour)
+	if got := c.order(later); got != sentNothing {
+		t.Errorf("before the first message: %d", got)
+	}
+	_, _ = io.WriteString(client, "first")
+	b := make([]byte, 100)
+	_, _ = c.Read(b)
+	if got := c.order(later); got != slowHead {
+		t.Errorf("after a part of the first message: %d", got)
+	}
+	c.Established()
+	_ = client.Close()
+	_, _ = c.Read(b)
+	if got := c.order(later); got != inUse {
+		t.Errorf("after the first message: %d", got)
+	}
+	_ = c.Close()
+}
+
 // failingListener fails some times before it accepts.
 type failingListener struct {
 	net.Listener
