Keep serving limited calls while the leader is slow or lost

A host whose part of the quotas is lent to the leader decided alone after one reply that took more than 80 ms, and had next to nothing; a host that had stopped leading went on deciding for its followers from its own part; a process that started had empty reserves and could not owe for a window. Change: calls of limited workspaces wait for the leader while it has the host's part; a host that does not lead closes the connections of its followers, which take their parts back at once; reserves start full, a chosen host may owe once a window from the start. The slack that is used is bounded by three times the rate, so that restarts add less than the 2 s without a part that each of them costs. Refunds do not come back after a part was lent again. Hosts ask for details of upstreams when they lose the leader, not when it is slow.

--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -26,7 +26,8 @@
 		if !k.WantsDetails {
 			k.DetailRevision = 0
 		}
-		if p.sent.Version() != p.version || p.sentFor != sentKey(&k) {
+		outdated := k.WantsDetails && p.sent.DetailRevision != p.detailRevision
+		if outdated || p.sent.Version() != p.version || p.sentFor != sentKey(&k) {
 			// Most hosts ask for the same changes.
 			p.sent, p.sentFor = p.changesSince(&k), sentKey(&k)
 			if err := p.sent.Pack(); err != nil {
--- a/internal/host/quotas.go
+++ b/internal/host/quotas.go
@@ -98,7 +98,12 @@
 	if m := s.quota.Report(now); m != nil {
 		conns[s.leaderConn] = m
 	}
+	leads := s.quota.Leads()
 	for host, f := range s.followers {
+		if !f.ended && s.quota.Active() && !leads {
+			f.conn.Close()
+			continue
+		}
 		if f.ended || !all && !s.quotaDue[host] {
 			continue
 		}
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -121,7 +121,7 @@
 func (s *ticketService) requestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
 	req.Holds = s.holds()
-	if leader := s.usableLeaderConn(); leader != nil {
+	if leader := s.leaderConnFor(&req); leader != nil {
 		decision, ok, err := s.requestRemote(ctx, leader, req)
 		if ok || err != nil {
 			return decision, err
@@ -274,6 +274,28 @@
 	return s.leaderConn
 }
 
+// leaderConnFor returns the connection to the leader for a ticket request, or nil if the local scheduler decides.
+func (s *ticketService) leaderConnFor(req *sched.Request) *link.Conn {
+	if c := s.usableLeaderConn(); c != nil || !s.waitsForLeader(req) {
+		return c
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderConn
+}
+
+// waitsForLeader reports whether a call waits for the leader even if that is slow to reply. While the leader has this
+// host's part of the quotas, the host has next to nothing for calls that it decides on alone.
+func (s *ticketService) waitsForLeader(req *sched.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaderConn == nil || !s.quota.Limits(req.Workspace) {
+		return false
+	}
+	s.updateQuota()
+	return s.quota.Lent()
+}
+
 // requestLocal requests a ticket from the local scheduler.
 func (s *ticketService) requestLocal(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	reply := make(chan sched.Decision, 1)
@@ -368,6 +390,10 @@
 			s.restore(req, decision)
 			return decision, true, nil
 		case <-timer.C:
+			if s.waitsForLeader(&req) {
+				timer.Reset(replyTimeout)
+				continue
+			}
 			s.mu.Lock()
 			s.avoidUntil = time.Now().Add(avoidPeriod)
 			s.mu.Unlock()
--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -10,9 +10,13 @@
 	// The room that the bound leaves beyond rate and burst is divided: reserves of hosts without a leader may use
 	// reserveRoom of it in any window, calls larger than an account of such a host debtRoom, and plain calls that the
 	// leader does not know of yet plainRoom. The rest covers hosts that disagree on the number of hosts.
-	reserveRoom = 0.25
+	reserveRoom = 0.375
 	debtRoom    = 0.375
-	plainRoom   = 0.25
+	plainRoom   = 0.125
+	// slackRates bounds the slack that is used, as a multiple of the rate. A process that starts has a full reserve and may
+	// owe again, and waits for lendTime before it has its part of the rate. So with this bound what restarts add is less
+	// than what they leave unused.
+	slackRates = 3.0
 	// oversizeRoom is the share of the room that one call larger than the burst may take at the leader.
 	oversizeRoom = 0.125
 	// plentyShare is the share of what is left of an account that is not scarce, and of plainRoom, that the plain
@@ -44,7 +48,7 @@
 
 // room returns the units beyond rate and burst that the bound allows in any window.
 func (b *Bounds) room(q *topo.Quota) float64 {
-	return b.Overage*(q.Rate*b.window().Seconds()+q.Burst) + b.Slack
+	return b.Overage*(q.Rate*b.window().Seconds()+q.Burst) + min(b.Slack, slackRates*q.Rate)
 }
 
 // reserve returns the capacity of the reserve of one of so many hosts. A reserve that is full at the start of a window
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -174,6 +174,14 @@
 	l.leader.setShare(now, min(float64(connected)/l.hosts, 1))
 }
 
+// Leads reports whether this host keeps the accounts for all hosts.
+func (l *Limiter) Leads() bool { return l.leader != nil }
+
+// Lent reports whether the part of this host belongs to the leader that it is connected to.
+func (l *Limiter) Lent() bool {
+	return l.leader == nil && l.following != "" && l.lentTo == l.following && l.boot < l.freeAt
+}
+
 // Share returns the share of every quota's rate that the accounts of this host get.
 func (l *Limiter) Share() float64 {
 	switch {
@@ -296,6 +304,8 @@
 		if !l.part.since.IsZero() {
 			l.part.since = time.Time{}
 			l.locals.surrender()
+			// What is refunded later must not come back to the base.
+			l.epoch++
 		}
 		l.freeAt, l.lentTo = l.boot+lendTime, l.following
 	}
--- a/internal/quota/local.go
+++ b/internal/quota/local.go
@@ -19,6 +19,7 @@
 	quota   topo.Quota
 	base    bucket
 	reserve bucket
+	started bool      // the reserve has been filled for the first time
 	debtAt  time.Time // when a call last took the base below zero
 	largest float64   // largest recent cost of a call
 	seenAt  time.Time // when a call of at least half of it was last seen
@@ -63,6 +64,9 @@
 
 func (s *locals) settle(now time.Time, a *local, p *part) {
 	r := s.bounds.reserve(&a.quota, p.hosts)
+	if !a.started {
+		a.started, a.reserve.level = true, r
+	}
 	a.reserve.refill(now, r/s.bounds.window().Seconds(), r)
 	if p.since.IsZero() {
 		return
@@ -115,13 +119,11 @@
 }
 
 // mayOwe reports whether a call that is larger than the account can ever hold may take it below zero now. Each chosen
-// host may do that once in a window, and not in the first window of its process, because it does not know what it has
-// owed before.
+// host may do that once in a window.
 func (s *locals) mayOwe(now time.Time, name string, a *local, p *part) bool {
 	window := s.bounds.window()
-	if p.since.IsZero() || now.Sub(s.started) < window || !a.debtAt.IsZero() && now.Sub(a.debtAt) < window {
+	if p.since.IsZero() || a.base.level < 0 || !a.debtAt.IsZero() && now.Sub(a.debtAt) < window {
 		return false
 	}
-	full := a.base.level >= a.quota.Burst/p.hosts-tolerance
-	return full && p.rank(name) < s.bounds.debtors(&a.quota, a.largest)
+	return p.rank(name) < s.bounds.debtors(&a.quota, a.largest)
 }
