--- a/internal/host/quotas_test.go
+++ b/internal/host/quotas_test.go
@@ -35,6 +35,14 @@
 		h.wakeQuota()
 		go h.runQuota(ctx)
 	}
+	deadline := time.Now().Add(30 * time.Second)
+	// Hosts connect to one that leads; one that does not lead closes their connections.
+	for leads := false; !leads; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the leader does not lead")
+		}
+		_, leads = sc.elector.OrderDelay()
+	}
 	a, b := net.Pipe()
 	c := link.NewConn(b)
 	follower.mu.Lock()
@@ -43,7 +51,6 @@
 	follower.mu.Unlock()
 	go leader.serveFollower(link.NewConn(a), &link.Message{Kind: link.Hello, Host: "h1"})
 	go func() { _ = follower.readReplies(c) }()
-	deadline := time.Now().Add(30 * time.Second)
 	share := func() float64 {
 		leader.mu.Lock()
 		defer leader.mu.Unlock()
