--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -10,9 +10,9 @@
 	// The room that the bound leaves beyond rate and burst is divided: reserves of hosts without a leader may use
 	// reserveRoom of it in any window, calls larger than an account of such a host debtRoom, and plain calls that the
 	// leader does not know of yet plainRoom. The rest covers hosts that disagree on the number of hosts.
-	reserveRoom = 0.375
+	reserveRoom = 0.25
 	debtRoom    = 0.375
-	plainRoom   = 0.125
+	plainRoom   = 0.25
 	// slackRates bounds the slack that is used, as a multiple of the rate. A process that starts has a full reserve and may
 	// owe again, and waits for lendTime before it has its part of the rate. So with this bound what restarts add is less
 	// than what they leave unused.
