Use up to four rates of the slack of quotas

Cause: with three, a follower that sends all plain calls of a workspace could use only a little more than the rate, and TestQuotaAcrossHosts found the leader's account nearly full in 1 of 3 runs beside other work. Change: four rates, which covers the slack of the smallest quota seen (3.8). After a restart of all hosts the reserves and debts are at most 1.25 of the room less the 2 s of the rate that nobody had. Result: TestQuotaAcrossHosts passes 3 of 3 beside other work; TestBound passes.

--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -16,7 +16,7 @@
 	// slackRates bounds the slack that is used, as a multiple of the rate. A process that starts has a full reserve and may
 	// owe again, and waits for lendTime before it has its part of the rate. So with this bound what restarts add is less
 	// than what they leave unused.
-	slackRates = 3.0
+	slackRates = 4.0
 	// oversizeRoom is the share of the room that one call larger than the burst may take at the leader.
 	oversizeRoom = 0.125
 	// plentyShare is the share of what is left of an account that is not scarce, and of plainRoom, that the plain
