Hedge slow calls of plain services where the operator asks for it

Cause: an idempotent call to a plain service waits for a slow upstream although another one is idle. Change: the entry host starts a second attempt on an idle upstream, in another failure domain if there is one, when the first has no response after the time that 95 in 100 calls take. The first response below 500 counts, and the other attempt is cancelled at once. It takes the retry budget, counts in the attempts of the route and needs a valid key. Calls to engines get none. A share close to 0 no longer overflows in the limit. Result: hedges_started, hedges_won, hedges_lost and hedges_refused count them, and "call ended" has hedge or hedge_refused. Tests of entry, hedge, host and cmd/figreel pass with the race detector. No latency was measured.

--- a/cmd/figreel/host.go
+++ b/cmd/figreel/host.go
@@ -26,6 +26,8 @@
 	logPollInterval = 20 * time.Millisecond
 	// metricsTimeout limits the time to read a metrics request, and the time to write its response.
 	metricsTimeout = 5 * time.Second
+	// hedgeShareFlag is a flag because the settings file is the platform's and has no field for it.
+	hedgeShareFlag = "hedge-share"
 )
 
 func hostCommand() *cli.Command {
@@ -34,14 +36,24 @@
 		Usage: "run one host on the operators' platform until SIGTERM, which starts a graceful shutdown",
 		Description: "The settings file is the one that the platform writes; its path is the value of " +
 			platform.SettingsVariable + ".\nExits with 2 if settings are invalid and with 1 if the host cannot run.",
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			return runPlatformHost(ctx, os.Getenv(platform.SettingsVariable))
+		Flags: []cli.Flag{&cli.FloatFlag{
+			Name:  hedgeShareFlag,
+			Usage: "share of the calls to plain services that may get a second attempt beside a slow one; 0 is none",
+			Validator: func(v float64) error {
+				if !(v >= 0 && v <= 1) {
+					return errors.Errorf("%g is not between 0 and 1", v)
+				}
+				return nil
+			},
+		}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runPlatformHost(ctx, os.Getenv(platform.SettingsVariable), cmd.Float(hedgeShareFlag))
 		},
 	}
 }
 
-// runPlatformHost runs a host until it is stopped by a signal, with the settings in file.
-func runPlatformHost(ctx context.Context, file string) error {
+// runPlatformHost runs a host until it is stopped by a signal, with the settings in file and that of the flag.
+func runPlatformHost(ctx context.Context, file string, hedgeShare float64) error {
 	stop := stopSignals()
 	if file == "" {
 		return errors.Errorf("%s does not name a settings file", platform.SettingsVariable)
@@ -50,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	settings.HedgeShare = hedgeShare
 	metrics := &stats.Set{}
 	metrics.Publish("figreel")
 	out := diode.NewWriter(os.Stdout, logBufferLines, logPollInterval, func(missed int) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -25,7 +25,7 @@
 )
 
 // upstream is a fake upstream that responds to each request with the next script. In a script, RESET resets the
-// connection, and HANG waits until the host closes it.
+// connection, HANG waits until the host closes it, and each DELAY at the start waits for 100 ms.
 type upstream struct {
 	id         string // of the engine in its grants; empty is e
 	software   string // version of the engine in its grants
@@ -75,6 +75,10 @@
 		u.received = append(u.received, r)
 		u.mu.Unlock()
 		script := strings.ReplaceAll(<-next, "$ID", r.Header.Get("X-Id"))
+		for strings.HasPrefix(script, "DELAY") {
+			script = strings.TrimPrefix(script, "DELAY")
+			time.Sleep(100 * time.Millisecond)
+		}
 		before, _, reset := strings.Cut(script, "RESET")
 		before, _, hang := strings.Cut(before, "HANG")
 		before, _, closed := strings.Cut(before, "CLOSE")
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -218,6 +218,7 @@
 	if !c.chargePlain() {
 		return
 	}
+	c.countForHedges()
 	for {
 		u, retryAfter := c.pickUpstream()
 		if u == nil {
@@ -272,7 +273,7 @@
 		if u == nil && (wait == 0 || wait > maxWait) {
 			return nil, wait
 		}
-		waited := wait == 0 || clock.Sleep(c.ctx, wait)
+		waited := wait == 0 || c.waitForUpstream(wait)
 		if u == nil && waited {
 			continue
 		}
@@ -288,6 +289,13 @@
 	}
 }
 
+// waitForUpstream reports whether the call still runs after the wait.
+func (c *call) waitForUpstream(wait time.Duration) bool {
+	c.s.Hedges.Wait(c.service, 1)
+	defer c.s.Hedges.Wait(c.service, -1)
+	return clock.Sleep(c.ctx, wait)
+}
+
 // maxWait returns how long the call may wait for an upstream.
 func (c *call) maxWait() time.Duration {
 	left := time.Duration(waitShare * float64(time.Until(c.deadline)))
@@ -298,24 +306,26 @@
 	return min(left, time.Until(latest))
 }
 
+// attemptPlain sends the call to an upstream, and to a second one if the first is late.
 func (c *call) attemptPlain(u *topo.Upstream) attemptResult {
 	c.tried = append(c.tried, u.ID)
-	sent := time.Now()
-	res, err := c.s.Pool.Do(c.ctx, c.upstreamRequest(u.Addr, u.ID))
-	if errors.Is(err, h1.ErrNotSent) {
+	x := c.exchange(u)
+	defer x.cancel()
+	u, res := x.upstream, x.res
+	if errors.Is(x.err, h1.ErrNotSent) {
 		c.s.Balancer.Done(time.Now(), u.ID, c.ctx.Err() == nil)
 		c.s.Stats.CountRetry("not_sent")
 		return tryNext
 	}
 	c.attempts++
-	if err != nil {
-		return c.handleBroken(u, sent, err)
+	if x.err != nil {
+		return c.handleBroken(u, x.sent, x.err)
 	}
 	c.s.Balancer.SetLoad(time.Now(), u.ID, c.s.load(res.Header))
-	stated := c.s.applyNotice(sent, u.Instance(), res)
+	stated := c.s.applyNotice(x.sent, u.Instance(), res)
 	body, complete, err := c.holdBody(res)
 	if err != nil {
-		return c.handleBroken(u, sent, err)
+		return c.handleBroken(u, x.sent, err)
 	}
 	if complete {
 		c.recordOutcome(u, res, stated)
@@ -338,13 +348,18 @@
 
 // handleBroken handles an attempt at a plain upstream whose connection broke, unless the call has ended.
 func (c *call) handleBroken(u *topo.Upstream, sent time.Time, err error) attemptResult {
+	c.recordBroken(u, sent, err)
+	return c.handleFailure()
+}
+
+// recordBroken records an attempt at a plain upstream whose connection broke.
+func (c *call) recordBroken(u *topo.Upstream, sent time.Time, err error) {
 	running := c.ctx.Err() == nil
 	c.logBroken(u.ID, err)
 	c.s.Balancer.Done(time.Now(), u.ID, running)
 	if running && c.s.Quarantine != nil {
 		c.s.Quarantine.Broken(sent, u.Instance(), &c.spec)
 	}
-	return c.handleFailure()
 }
 
 // handleResponse relays a response whose body, or the start of it, has been read. It returns tryNext if the upstream
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,7 @@
 
 	"github.com/figreel/figreel/internal/creds"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/hedge"
 	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
@@ -44,6 +45,7 @@
 	Quotas      Quotas     // nil if there are none
 	Balancer    *Balancer
 	RetryBudget RetryBudget
+	Hedges      *hedge.Policy // nil if no call gets a second attempt beside the first
 	// RequestMemory and ResponseMemory bound what is held of all requests and of all responses; nil does not.
 	RequestMemory, ResponseMemory *mem.Budget
 	Stats                         *stats.Set
@@ -101,8 +103,11 @@
 	deadline         time.Time
 	attempts         int
 	tried            []string
-	mayHaveExecuted  bool         // an upstream may have executed some attempt
-	fallback         *h1.Response // error response of an upstream, relayed if no further attempt is possible
+	hedgeDelay       time.Duration // after which an attempt is late; 0 if it gets no second one beside it
+	hedge            string        // how the newest second attempt ended
+	hedgeRefused     string        // why the newest attempt that was late got no second one
+	mayHaveExecuted  bool          // an upstream may have executed some attempt
+	fallback         *h1.Response  // error response of an upstream, relayed if no further attempt is possible
 	fallbackBody     []byte
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
@@ -351,6 +356,12 @@
 			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams).
 			Float64("speed", math.Round(c.grant.Speed*100)/100)
 	}
+	if c.hedge != "" {
+		e = e.Str("hedge", c.hedge)
+	}
+	if c.hedgeRefused != "" {
+		e = e.Str("hedge_refused", c.hedgeRefused)
+	}
 	if c.takesUp {
 		e = e.Str("resumes", c.r.Header.Get(c.s.Headers.Resumes))
 	}
--- a/internal/hedge/policy.go
+++ b/internal/hedge/policy.go
@@ -140,7 +140,7 @@
 		return RefusedWaiting
 	case bits.OnesCount32(s.late) > maxLate || !s.newest.After(began):
 		return RefusedAllSlow
-	case !s.credit.take(now, int(math.Ceil(1/p.Share))):
+	case !s.credit.take(now, int(math.Ceil(min(1/p.Share, math.MaxInt32)))):
 		return RefusedLimit
 	}
 	return ""
--- a/internal/hedge/policy_test.go
+++ b/internal/hedge/policy_test.go
@@ -161,7 +161,7 @@
 // Guards against more hedges in any window than the share of its calls and those of the 10 s before.
 func TestLimitInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &hedge.Policy{Share: rapid.SampledFrom([]float64{0.01, 0.02, 0.07, 0.3, 1}).Draw(t, "share")}
+		p := &hedge.Policy{Share: rapid.SampledFrom([]float64{1e-300, 0.01, 0.02, 0.07, 0.3, 1}).Draw(t, "share")}
 		k := hedge.Key{Service: "s"}
 		p.FirstByte(k, origin.Add(time.Hour), normal, false)
 		var now time.Duration
--- a/internal/hedge/times.go
+++ b/internal/hedge/times.go
@@ -12,7 +12,7 @@
 	minTimes = 32
 	// refreshInterval is the number of calls after which the quantile is computed again.
 	refreshInterval = 16
-	// maxKeys bounds the memory for times: 1,024 keys take 0.6 MB.
+	// maxKeys bounds the memory for times: 1,024 keys take 0.6 MB (calculated).
 	maxKeys = 1024
 	// minDelay is the minimum time before a second attempt; timers of a busy host are late by some milliseconds.
 	minDelay = 5 * time.Millisecond
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -162,7 +162,7 @@
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
 			hosts: h.cache.senderCount,
 		},
-		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
+		Hedges: h.hedges(), Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
 	h.limitMemory()
 }
--- a/internal/host/retries.go
+++ b/internal/host/retries.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/figreel/figreel/internal/hedge"
 )
 
 const (
@@ -33,6 +35,14 @@
 	updatedAt time.Time
 }
 
+// hedges returns the policy for second attempts, or nil if the settings allow none.
+func (h *Host) hedges() *hedge.Policy {
+	if h.Settings.HedgeShare <= 0 {
+		return nil
+	}
+	return &hedge.Policy{Share: h.Settings.HedgeShare}
+}
+
 // Earn adds the retries that one call to a service earns.
 func (r *retryBudget) Earn(service string) {
 	r.mu.Lock()
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -28,6 +28,7 @@
 		RetryRatio    float64       // retries allowed per call
 		RetryWindow   time.Duration
 		RetrySlack    float64       // retries allowed in each window on top of the ratio
+		HedgeShare    float64       // share of calls that may get a second attempt beside a slow one; 0 is none
 		HandoverDelay time.Duration // minimum time between orders of two different leaders
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
 		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
