Add workspaces and uneven upstreams to the load tool

Cause: cmd/load sent calls without keys to equal upstreams, so it did not show keys, quotas or competition with real hosts and sockets.

Calls have the stated sizes (1,116 and 9,240 tokens, 200 for plain ones). The upstreams check that Tenant is the workspace of the key, that no Authorization reaches them, and that the units of a workspace in any 8 s stay within the stated bound (overage 0.1, slack 110,000). A violation is printed and makes the exit status 1. Callers also send a Tenant of their own. Without workspaces the sequence of random numbers is as before.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -13,8 +13,13 @@
 	"github.com/figreel/figreel/internal/emul/site"
 )
 
-// exitNotFollowed is the exit code if calls did not follow what upstreams stated.
-const exitNotFollowed = 3
+const (
+	// exitBreach is the exit code if a call reached an upstream with a wrong workspace or with credentials, or if more
+	// units ran than a quota allows.
+	exitBreach = 1
+	// exitNotFollowed is the exit code if calls did not follow what upstreams stated.
+	exitNotFollowed = 3
+)
 
 func main() {
 	logx.Disable()
@@ -22,7 +27,8 @@
 		Name:  "load",
 		Usage: "send calls to hosts with emulated upstreams that state limits, departures and pauses",
 		Description: "Of each service, the last upstream states a limit, the first that it is leaving, and the " +
-			"second asks for pauses.\nExits with 3 if calls did not follow that.",
+			"second asks for pauses.\nExits with 3 if calls did not follow that, and with 1 if keys, workspaces or " +
+			"quotas were not observed.",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "hosts", Value: 4, Usage: "number of hosts"},
 			&cli.IntFlag{Name: "engines", Value: 6, Usage: "number of model engines"},
@@ -36,6 +42,11 @@
 			&cli.DurationFlag{Name: "work", Value: 80 * time.Millisecond, Usage: "time of each call at an upstream"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the times and hosts of calls"},
 			&cli.IntFlag{Name: "random", Usage: "number of random deployments; with --seed, --for and --log only"},
+			&cli.IntFlag{Name: "workspaces", Usage: "number of workspaces with keys and quotas; 0 means no keys"},
+			&cli.IntFlag{Name: "hot", Usage: "number of workspaces that send several times their usual load"},
+			&cli.FloatFlag{Name: "hot-factor", Value: 5, Usage: "load of hot workspaces in multiples of the usual one"},
+			&cli.IntSliceFlag{Name: "priority", Usage: "priorities of the workspaces, one after the other"},
+			&cli.FloatSliceFlag{Name: "speed", Usage: "speed factors of upstreams, one after the other"},
 			&cli.BoolFlag{Name: "log", Usage: "print the logs of all hosts"},
 		},
 		Action: run,
@@ -59,6 +70,9 @@
 		PlainRate: rate / 3, WorkTime: cmd.Duration("work"), Duration: d, Seed: cmd.Uint64("seed"),
 		Log: site.Logger(cmd.Bool("log")),
 	}
+	if err := addWorkspaces(cmd, s); err != nil {
+		return err
+	}
 	if s.Hosts < 1 || s.Engines < 3 || s.Plain < 3 || !(rate > 0) || d <= 0 {
 		return errors.New("hosts, rate and for must be positive, engines and plain at least 3")
 	}
@@ -82,12 +96,38 @@
 	if err := r.Write(os.Stdout); err != nil {
 		return errors.Wrap(err, "write report")
 	}
-	if len(r.Violations()) > 0 {
+	switch {
+	case len(r.Breaches()) > 0:
+		os.Exit(exitBreach)
+	case len(r.Violations()) > 0:
 		os.Exit(exitNotFollowed)
 	}
 	return nil
 }
 
+// addWorkspaces adds the workspaces and the speeds of upstreams that the options describe.
+func addWorkspaces(cmd *cli.Command, s *site.Site) error {
+	n, hot, factor := cmd.Int("workspaces"), cmd.Int("hot"), cmd.Float("hot-factor")
+	if n < 0 || hot < 0 || hot > n || !(factor > 0) {
+		return errors.New("hot must be from 0 to the number of workspaces, hot-factor must be positive")
+	}
+	for _, p := range cmd.IntSlice("priority") {
+		if p < 0 {
+			return errors.New("priorities must not be negative")
+		}
+	}
+	s.Speeds = cmd.FloatSlice("speed")
+	for _, speed := range s.Speeds {
+		if !(speed > 0) {
+			return errors.New("speeds must be positive")
+		}
+	}
+	if n > 0 {
+		s.Workspaces = site.NewWorkspaces(n, hot, factor, s.ModelRate, s.PlainRate, cmd.IntSlice("priority"))
+	}
+	return nil
+}
+
 // runRandom runs random deployments one after the other. It prints a line for each, and the calls of those in which
 // statements were not followed.
 func runRandom(ctx context.Context, cmd *cli.Command, n int) error {
--- a/internal/emul/site/host.go
+++ b/internal/emul/site/host.go
@@ -58,6 +58,7 @@
 		Name: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%3), Front: addrs[0], Link: addrs[1],
 		ReadyAddr: addrs[2], DirectoryAddr: addrs[3], Grace: stopTime, DrainTime: 2 * time.Second, RetryRatio: 0.2,
 		RetryWindow: 10 * time.Second, RetrySlack: 50, HandoverDelay: 3 * time.Second, AddressTTL: time.Second,
+		Quota: quotaBounds, RevokeTime: s.revokeTime(),
 	}}, nil
 }
 
@@ -140,10 +141,9 @@
 		Headers: entry.Headers{
 			ID: headerID, Deadline: "Call-Deadline", Instance: headerInstance, NotExecuted: headerRefused,
 			LastEventID: "Last-Event-Id", Priority: "Call-Priority", RetryAfter: headerRetry,
+			Key: headerKey, Workspace: headerWorkspace,
 		},
-		ParseSpec: func(http.Header) (topo.CallSpec, error) {
-			return topo.CallSpec{Model: modelName, PromptTokens: promptTokens, OutputTokens: outputTokens}, nil
-		},
+		ParseSpec:   parseSpec,
 		ParseNotice: parseNotice,
 		Serve: func(ctx context.Context, _ host.Endpoints) error {
 			<-ctx.Done()
--- a/internal/emul/site/load.go
+++ b/internal/emul/site/load.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,14 +29,23 @@
 	outputTokens = 50
 )
 
-// startUpstream starts an upstream and registers it.
-func (s *Site) startUpstream(ctx context.Context, name, service string) error {
+// siteCall is one call of a caller; workspace is nil where calls need no key.
+type siteCall struct {
+	host           *siteHost
+	service        string
+	number         int
+	workspace      *Workspace
+	prompt, output int
+}
+
+// startUpstream starts an upstream whose calls take the given time, and registers it.
+func (s *Site) startUpstream(ctx context.Context, name, service string, work time.Duration) error {
 	l, err := listen()
 	if err != nil {
 		return err
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.serveCall(w, r, name)
+		s.serveCall(w, r, name, work)
 	}), ReadHeaderTimeout: callTimeout}
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
 	go func() {
@@ -52,12 +62,13 @@
 }
 
 // serveCall counts a call at an upstream and responds with what the upstream states now.
-func (s *Site) serveCall(w http.ResponseWriter, r *http.Request, upstream string) {
+func (s *Site) serveCall(w http.ResponseWriter, r *http.Request, upstream string, work time.Duration) {
 	id := r.Header.Get(headerID)
 	_, host, _ := strings.Cut(id, "@")
 	p := pair{upstream, host}
 	s.report.arrive(p, s.since())
 	n, stated := s.notice(upstream)
+	s.report.check(r.Header, upstream, n.Hold == 0, s.since())
 	defer func() { s.report.state(stated, p, s.since()) }()
 	if n.Limited {
 		w.Header().Set(headerLimit, strconv.FormatFloat(n.Limit, 'f', 2, 64))
@@ -72,7 +83,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(s.WorkTime)
+	time.Sleep(work)
 	_, _ = io.WriteString(w, "ok")
 }
 
@@ -98,42 +109,76 @@
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
 	var calls sync.WaitGroup
+	load := s.load()
 	for i := 0; s.since() < s.Duration && ctx.Err() == nil; i++ {
 		service := modelService
 		if rng.Float64()*(s.ModelRate+s.PlainRate) > s.ModelRate {
 			service = plainService
 		}
-		h := s.hosts[rng.IntN(len(s.hosts))]
-		calls.Go(func() { s.call(ctx, client, h, service, i) })
-		time.Sleep(time.Duration(rng.ExpFloat64() / (s.ModelRate + s.PlainRate) * float64(time.Second)))
+		c := &siteCall{host: s.hosts[rng.IntN(len(s.hosts))], service: service, number: i}
+		if c.workspace = s.draw(rng); c.workspace != nil && service == modelService {
+			c.prompt, c.output = drawTokens(rng)
+		}
+		calls.Go(func() { s.call(ctx, client, c) })
+		time.Sleep(time.Duration(rng.ExpFloat64() / (s.ModelRate + s.PlainRate) / load * float64(time.Second)))
 	}
 	calls.Wait()
 }
 
 // call sends one call; a rejected one is not repeated.
-func (s *Site) call(ctx context.Context, client *http.Client, h *siteHost, service string, n int) {
-	url := fmt.Sprintf("http://%s/%s/call", h.settings.Front, service)
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func (s *Site) call(ctx context.Context, client *http.Client, c *siteCall) {
+	r, err := c.request(ctx)
 	if err != nil {
 		s.report.end(err.Error())
 		return
 	}
-	r.Host = hostName
-	r.Header.Set(headerID, fmt.Sprintf("c%d@%s", n, h.label()))
+	if w := c.workspace; w != nil {
+		s.report.ask(w, w.Quota.Cost(c.prompt, c.output, c.service == plainService), s.since())
+	}
 	resp, err := client.Do(r)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		s.report.end("not listening")
+		s.end(c, "not listening", "")
 		return
 	case err != nil:
 		s.Log.Warn().Err(err).Str("call", r.Header.Get(headerID)).Msg("call got no response")
-		s.report.end("no response")
+		s.end(c, "no response", "")
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		s.report.end("cut")
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.end(c, "cut", "")
 		return
 	}
-	s.report.end(strconv.Itoa(resp.StatusCode))
+	s.end(c, strconv.Itoa(resp.StatusCode), strings.TrimSpace(string(body)))
+}
+
+// end counts the outcome of a call, and for its workspace the reason if it was not served.
+func (s *Site) end(c *siteCall, outcome, reason string) {
+	s.report.end(outcome)
+	if c.workspace != nil {
+		s.report.tell(c.workspace, outcome == strconv.Itoa(http.StatusOK), cmp.Or(reason, outcome))
+	}
+}
+
+// request returns the request of the call. Callers claim a workspace themselves, which hosts must not forward.
+func (c *siteCall) request(ctx context.Context) (*http.Request, error) {
+	url := fmt.Sprintf("http://%s/%s/call", c.host.settings.Front, c.service)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	r.Host = hostName
+	id := fmt.Sprint("c", c.number)
+	if w := c.workspace; w != nil {
+		id += "." + w.Name
+		r.Header.Set(headerKey, "Bearer "+w.Key)
+		r.Header.Set(headerWorkspace, "claimed")
+		if c.service == modelService {
+			r.Header.Set(headerTokens, fmt.Sprintf("%d,%d", c.prompt, c.output))
+		}
+	}
+	r.Header.Set(headerID, id+"@"+c.host.label())
+	return r, nil
 }
--- a/internal/emul/site/report.go
+++ b/internal/emul/site/report.go
@@ -31,6 +31,7 @@
 		mu       sync.Mutex
 		seen     map[pair]*counts
 		outcomes map[string]int // calls by status, or how they failed
+		usages   map[string]*Usage
 	}
 
 	// Violation is a statement that calls did not follow.
@@ -173,7 +174,11 @@
 	for _, outcome := range slices.Sorted(maps.Keys(r.outcomes)) {
 		fmt.Fprintf(t, "calls\t%s\t%d\n", outcome, r.outcomes[outcome])
 	}
+	r.writeUsages(t)
 	r.mu.Unlock()
+	for _, breach := range r.Breaches() {
+		fmt.Fprintf(t, "violation\t%s\n", breach)
+	}
 	for _, v := range r.Violations() {
 		fmt.Fprintf(t, "not followed\t%s\t%d\t%+v\n", cmp.Or(v.Host, "all hosts"), v.Calls, v.Statement)
 	}
--- a/internal/emul/site/site.go
+++ b/internal/emul/site/site.go
@@ -45,7 +45,12 @@
 		// RestartAt are the times at which one host after the other is restarted.
 		RestartAt []time.Duration
 		Outages   []Outage
-		Log       zerolog.Logger
+		// Workspaces hold keys and quotas; without any, calls need no key. With them, the rates above are those of the
+		// usual load of all.
+		Workspaces []Workspace
+		// Speeds are factors of the speed of upstreams, one after the other; empty means that all are equal.
+		Speeds []float64
+		Log    zerolog.Logger
 
 		store   *stub.Store
 		started time.Time
@@ -76,13 +81,17 @@
 	defer cancel()
 	s.store = &stub.Store{}
 	s.store.Set(configPrefix+"main", "1")
-	s.report = Report{statements: s.Statements, seen: make(map[pair]*counts)}
+	s.report = Report{statements: s.Statements, seen: make(map[pair]*counts), usages: newUsages(s.Workspaces)}
 	for i := range s.Engines + s.Plain {
 		name, service := fmt.Sprint("engine-", i), modelService
 		if i >= s.Engines {
 			name, service = fmt.Sprint("plain-", i-s.Engines), plainService
 		}
-		if err := s.startUpstream(ctx, name, service); err != nil {
+		work := s.WorkTime
+		if len(s.Speeds) > 0 {
+			work = time.Duration(float64(work) / s.Speeds[i%len(s.Speeds)])
+		}
+		if err := s.startUpstream(ctx, name, service, work); err != nil {
 			return nil, err
 		}
 	}
@@ -137,7 +146,7 @@
 		}
 	}
 	return &topo.Config{
-		Version: 1, Routes: []topo.Route{route(modelService), route(plainService)},
+		Version: 1, Routes: []topo.Route{route(modelService), route(plainService)}, Workspaces: s.workspaces(),
 		Limits: topo.Limits{
 			HeaderBytes: 1 << 16, BodyBytes: 1 << 16, HeaderTimeout: callTimeout, IdleTimeout: time.Minute,
 		},
--- a/internal/emul/site/site_test.go
+++ b/internal/emul/site/site_test.go
@@ -58,3 +58,35 @@
 		})
 	}
 }
+
+// Guards against a call that reaches an upstream with its key or with another workspace than that of the key, against
+// units beyond the quota of a hot workspace, and against refusals of the others because of quotas: with uneven
+// upstreams and a restart of a host.
+func TestWorkspaces(t *testing.T) {
+	const modelRate, plainRate = 40, 20
+	s := &site.Site{
+		Hosts: 3, Engines: 4, Plain: 3, ModelRate: modelRate, PlainRate: plainRate, WorkTime: 40 * time.Millisecond,
+		Duration: 6 * time.Second, Seed: 1, Speeds: []float64{0.55, 1.2},
+		Workspaces: site.NewWorkspaces(4, 1, 6, modelRate, plainRate, []int{0, 1, 1}),
+	}
+	r, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, breach := range r.Breaches() {
+		t.Error(breach)
+	}
+	for _, u := range r.Usages() {
+		switch over := u.Refused["over_quota"]; {
+		case u.Served == 0:
+			t.Errorf("no call of %s was served", u.Workspace.Name)
+		case u.Workspace.Load > 1 && over == 0:
+			t.Errorf("no call of %s was refused because of its quota", u.Workspace.Name)
+		case u.Workspace.Load == 1 && float64(over) > 0.03*float64(u.Within):
+			t.Errorf("%d of %d calls of %s within its quota were refused", over, u.Within, u.Workspace.Name)
+		}
+	}
+	if t.Failed() {
+		_ = r.Write(os.Stderr)
+	}
+}
