--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -21,8 +21,8 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
-// testPlatform returns a platform whose configurations are version numbers and whose upstreams look like "svc ready", with
-// the resident models after it.
+// testPlatform returns a platform whose configurations are version numbers and whose upstreams look like "svc ready",
+// with the resident models after it.
 func testPlatform(s store.Store) *Platform {
 	return &Platform{
 		Store: s, ConfigPrefix: "conf/", UpstreamPrefix: "up/",
@@ -35,7 +35,8 @@
 			if len(words) < 2 {
 				return nil, errors.New("not an upstream")
 			}
-			u := &topo.Upstream{ID: strings.TrimPrefix(it.Key, "up/"), Service: words[0], Leaving: words[1] == "leaving"}
+			id := strings.TrimPrefix(it.Key, "up/")
+			u := &topo.Upstream{ID: id, Service: words[0], Leaving: words[1] == "leaving"}
 			for _, model := range words[2:] {
 				u.Models = append(u.Models, topo.Resident{Name: model})
 			}
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -7,8 +7,8 @@
 	"github.com/figreel/figreel/internal/store"
 )
 
-// changes returns the changes since the revisions in known, whether they hold more than newer revisions, the boot time as
-// of which this host's copy of the upstreams is complete, and a channel that is closed at the next change.
+// changes returns the changes since the revisions in known, whether they hold more than newer revisions, the boot time
+// as of which this host's copy of the upstreams is complete, and a channel that is closed at the next change.
 func (sc *storeCache) changes(known []link.PrefixState) (
 	out []link.PrefixState, changed bool, confirmedAt time.Duration, next <-chan struct{},
 ) {
@@ -45,8 +45,8 @@
 	return sentRequest{since: k.Version(), details: k.WantsDetails, detailsSince: k.DetailRevision}
 }
 
-// changesSince returns the changes of the prefix that a host lacks, or all items if its version is of another era or the
-// deletions since then are not known any more.
+// changesSince returns the changes of the prefix that a host lacks, or all items if its version is of another era or
+// the deletions since then are not known any more.
 func (p *prefixState) changesSince(k *link.PrefixState) link.PrefixState {
 	revision := k.Revision
 	l := link.PrefixState{
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -115,9 +115,9 @@
 		Delta    bool          `cbor:"4,keyasint,omitempty"`
 		Events   []store.Event `cbor:"5,keyasint,omitempty"`
 		Era      int64         `cbor:"6,keyasint,omitempty"`
-		// DetailRevision is the revision as of which the details of the items are complete too, those that say nothing of
-		// where calls may be sent. WantsDetails is set in a request if they are wanted; without it a response may leave
-		// changes of details out, and has no DetailRevision then.
+		// DetailRevision is the revision as of which the details of the items are complete too, those that say nothing
+		// of where calls may be sent. WantsDetails is set in a request if they are wanted; without it a response may
+		// leave changes of details out, and has no DetailRevision then.
 		DetailRevision int64 `cbor:"7,keyasint,omitempty"`
 		WantsDetails   bool  `cbor:"8,keyasint,omitempty"`
 		// Packed replaces Items and Events, see Pack.
--- a/internal/link/pack.go
+++ b/internal/link/pack.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// minPackedBytes is the size of values from which on a state is compressed: entries of upstreams repeat the names of
-	// models and fields many times.
+	// minPackedBytes is the size of values from which on a state is compressed: entries of upstreams repeat the names
+	// of models and fields many times.
 	minPackedBytes = 16 << 10
 	// maxUnpackedBytes bounds what a packed state may take.
 	maxUnpackedBytes = 64 << 20
--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -13,9 +13,9 @@
 	reserveRoom = 0.25
 	debtRoom    = 0.375
 	plainRoom   = 0.25
-	// slackRates bounds the slack that is used, as a multiple of the rate. A process that starts has a full reserve and may
-	// owe again, and waits for lendTime before it has its part of the rate. So with this bound what restarts add is less
-	// than what they leave unused.
+	// slackRates bounds the slack that is used, as a multiple of the rate. A process that starts has a full reserve and
+	// may owe again, and waits for lendTime before it has its part of the rate. So with this bound what restarts add is
+	// less than what they leave unused.
 	slackRates = 4.0
 	// oversizeRoom is the share of the room that one call larger than the burst may take at the leader.
 	oversizeRoom = 0.125
--- a/internal/sched/compete.go
+++ b/internal/sched/compete.go
@@ -14,8 +14,8 @@
 	// measurement; after maxSaturation the earlier half loses its weight.
 	minSaturation = 200 * time.Millisecond
 	maxSaturation = 2 * time.Second
-	// arrivalShare is the share of its limit that a call may be expected to wait when it arrives. The rest is for calls of
-	// other workspaces that arrive later and go before it.
+	// arrivalShare is the share of its limit that a call may be expected to wait when it arrives. The rest is for calls
+	// of other workspaces that arrive later and go before it.
 	arrivalShare = 0.9
 	// saturationGap is the time without full engines that ends a saturation.
 	saturationGap = 100 * time.Millisecond
