--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,7 +18,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/creds"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/hedge"
 	"github.com/figreel/figreel/internal/mem"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
@@ -35,11 +38,14 @@
 	StartCheck  StartCheck // nil if connections need no check
 	Domain      string     // failure domain of this host
 	Config      func() *topo.Config
+	Keys        *creds.Keys // nil if calls need no keys
 	Pool        *h1.Pool
 	Tickets     TicketClient
 	Quarantine  Quarantine // nil if there is none
+	Quotas      Quotas     // nil if there are none
 	Balancer    *Balancer
 	RetryBudget RetryBudget
+	Hedges      *hedge.Policy // nil if no call gets a second attempt beside the first
 	// RequestMemory and ResponseMemory bound what is held of all requests and of all responses; nil does not.
 	RequestMemory, ResponseMemory *mem.Budget
 	Stats                         *stats.Set
@@ -86,6 +92,8 @@
 	id               string
 	route            *topo.Route
 	service          string
+	workspace        *topo.Workspace // workspace of the caller's key, or nil
+	keyed            bool            // the configuration has workspaces
 	spec             topo.CallSpec
 	body             []byte
 	request          mem.Share // what is held of the request
@@ -95,14 +103,18 @@
 	deadline         time.Time
 	attempts         int
 	tried            []string
-	mayHaveExecuted  bool         // an upstream may have executed some attempt
-	fallback         *h1.Response // error response of an upstream, relayed if no further attempt is possible
+	hedgeDelay       time.Duration // after which an attempt is late; 0 if it gets no second one beside it
+	hedge            string        // how the newest second attempt ended
+	hedgeRefused     string        // why the newest attempt that was late got no second one
+	mayHaveExecuted  bool          // an upstream may have executed some attempt
+	fallback         *h1.Response  // error response of an upstream, relayed if no further attempt is possible
 	fallbackBody     []byte
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
-	takesUp          bool   // the caller takes a stream up
-	software         string // software version whose events the caller has, empty before the first one
-	delayedBy        string // why no upstream took the call at first
+	takesUp          bool           // the caller takes a stream up
+	software         string         // software version whose events the caller has, empty before the first one
+	delayedBy        string         // why no upstream took the call at first
+	rejection        sched.Decision // of the scheduler; the zero value if it rejected no attempt
 	grant            sched.Grant
 	timeToGrant      time.Duration // from the start to the last grant
 	firstEventSent   bool          // the current attempt has sent its first event
@@ -200,7 +212,7 @@
 		c.reject(reasonStopping, 0)
 		return false
 	}
-	return c.prepare(cfg)
+	return c.checkKey() && c.prepare(cfg)
 }
 
 func (c *call) readBody(limit int64) bool {
@@ -267,8 +279,9 @@
 	h.Set(c.s.Headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	h.Set(c.s.Headers.Instance, id)
 	if c.spec.Model != "" {
-		h.Set(c.s.Headers.Priority, strconv.Itoa(min(c.route.Priority, maxPriority)))
+		c.setPriority(h)
 	}
+	c.setWorkspace(h)
 	if c.lastEventID != "" {
 		h.Set(c.s.Headers.LastEventID, c.lastEventID)
 	}
@@ -277,14 +290,15 @@
 	}
 }
 
-// maxPriority is the least urgent priority that engines accept.
-const maxPriority = 9
-
 // reject responds that the call has not been executed, and after what delay the caller may retry.
 func (c *call) reject(reason string, delay time.Duration) {
 	c.s.Stats.CountRejection(reason)
 	c.w.Header().Set(c.s.Headers.RetryAfter, strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
-	c.respond(http.StatusServiceUnavailable, reason)
+	status := http.StatusServiceUnavailable
+	if reason == sched.ReasonOverQuota {
+		status = http.StatusTooManyRequests
+	}
+	c.respond(status, reason)
 }
 
 // fail responds with a status that does not say whether the call has been executed.
@@ -331,12 +345,22 @@
 	if c.route != nil {
 		e = e.Str("route", c.route.Name)
 	}
+	if c.workspace != nil {
+		e = e.Str("workspace", c.workspace.Name)
+	}
 	if c.spec.Model != "" {
 		e = e.Str("model", c.spec.Model).Str("adapter", c.spec.Adapter).Int("prompt", c.spec.PromptTokens)
 	}
 	if c.grant.Engine != "" {
 		e = e.Dur("granted_ms", c.timeToGrant).Uint64("ticket", c.grant.Ticket).Int("read", c.grant.PrefillTokens).
-			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams)
+			Dur("expected_ms", c.grant.PrefillTime).Int("streams", c.grant.Streams).
+			Float64("speed", math.Round(c.grant.Speed*100)/100)
+	}
+	if c.hedge != "" {
+		e = e.Str("hedge", c.hedge)
+	}
+	if c.hedgeRefused != "" {
+		e = e.Str("hedge_refused", c.hedgeRefused)
 	}
 	if c.takesUp {
 		e = e.Str("resumes", c.r.Header.Get(c.s.Headers.Resumes))
@@ -347,6 +371,9 @@
 	if c.delayedBy != "" {
 		e = e.Str("delayed_by", c.delayedBy)
 	}
+	if c.rejection.Position > 0 || c.rejection.WorkAhead > 0 {
+		e = e.Int("position", c.rejection.Position).Float64("work_ahead", c.rejection.WorkAhead)
+	}
 	if c.headerSent {
 		e = e.Dur("first_ms", c.timeToFirstEvent).Dur("pause_ms", c.maxGap).Dur("pause_at_ms", c.maxGapAt)
 	}
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -9,7 +9,9 @@
 
 // hello returns the first message to a leader: what it has to know of this host's calls. s.mu is held.
 func (s *ticketService) hello() *link.Message {
-	m := &link.Message{Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own()}
+	m := &link.Message{
+		Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own(), Speeds: s.scheduler.Speeds(time.Now()),
+	}
 	for _, t := range s.openTickets {
 		m.OpenTickets = append(m.OpenTickets, *t)
 	}
@@ -18,15 +20,19 @@
 
 // serveFollower restores the open tickets of a follower and handles its messages until the connection ends.
 func (s *ticketService) serveFollower(c *link.Conn, hello *link.Message) {
-	f := &follower{conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
+	f := &follower{host: hello.Host, conn: c, tickets: make(map[uint64]bool), waiting: make(map[string]bool)}
 	s.mu.Lock()
 	s.followers[hello.Host] = f
+	s.quota.Join(hello.Host)
+	s.quotaDue[hello.Host] = true
 	for _, t := range hello.OpenTickets {
 		s.scheduler.RestoreTicket(time.Now(), t)
 		f.tickets[t.Grant.Ticket] = true
 	}
 	s.scheduler.Streams.Learn(time.Now(), hello.Streams...)
+	s.scheduler.LearnSpeeds(time.Now(), hello.Speeds)
 	s.mu.Unlock()
+	s.wakeQuota()
 	for {
 		m, err := c.Receive()
 		if err != nil {
@@ -36,6 +42,9 @@
 	}
 	s.mu.Lock()
 	f.ended = true
+	if s.followers[hello.Host] == f {
+		s.quota.Leave(hello.Host)
+	}
 	s.mu.Unlock()
 	time.AfterFunc(rejoinPeriod, func() { s.releaseFollower(hello.Host, f) })
 }
@@ -44,6 +53,8 @@
 	switch m.Kind {
 	case link.Notices:
 		s.notices.Merge(time.Now(), m.Notices, m.Host)
+	case link.Quota:
+		s.receiveQuota(f, m.Quota)
 	case link.TicketRequest:
 		if m.Request != nil {
 			s.requestFor(f, *m.Request)
@@ -73,6 +84,13 @@
 
 func (s *ticketService) requestFor(f *follower, req sched.Request) {
 	s.mu.Lock()
+	s.updateQuota()
+	if s.quota.Active() && !s.quota.Leads() {
+		// The follower takes its part of the quotas back when its leader closes the connection.
+		s.mu.Unlock()
+		f.conn.Close()
+		return
+	}
 	s.updateLimitShare()
 	decision := s.schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/entry"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/sched"
@@ -41,11 +42,13 @@
 	closeTime = 250 * time.Millisecond
 	// minStop is the minimum time before a stopping host ends, for callers that have not learned that it stops.
 	minStop = 3500 * time.Millisecond
-	// maxHeaderBytes and headerTimeout limit a request's header, idleTimeout an idle connection of a caller. They are
-	// constants because the server starts before a configuration is known.
+	// maxHeaderBytes and headerTimeout limit a request's header, idleTimeout an idle connection of a caller, before a
+	// configuration is known.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
+	// callerShare is the share of the descriptors that connections of callers may take.
+	callerShare = 0.4
 )
 
 // Host is one running host; its exported fields are set before Run.
@@ -55,6 +58,8 @@
 	Pool     *h1.Pool
 	Stats    *stats.Set
 	Log      zerolog.Logger
+	// Gate limits the connections that callers and other machines open; Run sets it if it is nil.
+	Gate *ingres.Gate
 	// Stop delivers the signal that starts a graceful shutdown.
 	Stop <-chan os.Signal
 	// Reload delivers reloaded settings; only the seeds can change while the host runs.
@@ -67,6 +72,7 @@
 	reconciler    *reconciler
 	streams       *streamStore
 	entry         *entry.Server
+	traffic       link.Traffic // to other hosts
 	closeCallers  func()       // closes the server for callers and waits until that is done
 	stoppingSince atomic.Int64 // boot time of the stop signal, 0 before
 	lastCall      atomic.Int64 // boot time of the last call since the stop signal
@@ -107,10 +113,13 @@
 	}
 	limits := newAgeLimits(s.DrainTime)
 	h.cache = newStoreCache(h.Platform, limits, h.elector, h.Stats, h.Log)
+	h.cache.setRevokeTime(s.RevokeTime)
 	notices := &notice.Table{Changed: h.noticeChanged, Malformed: h.noticeMalformed}
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
+	h.tickets.publishSpeeds()
 	h.tickets.senders = h.cache.senderCount
 	h.tickets.departed = h.cache.departed
+	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
 		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
@@ -118,13 +127,15 @@
 	}
 	h.tickets.streams = h.streams
 	h.cache.onChange = h.updateScheduler
+	h.cache.schedules = func() bool { return h.elector.IsLeader() || !h.tickets.hasLeader() }
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
 		self: self, cache: h.cache, elector: h.elector, tickets: h.tickets, seeds: s.Seeds, stats: h.Stats, log: h.Log,
-		now: clock.SinceBoot, dial: link.Dial,
+		now: clock.SinceBoot, dial: h.dial,
 	}
 	h.relay.sources = sourceSet{Self: s.Name, WaitsAtStart: s.waitsForSeeds(), Limits: limits}
+	h.cache.isSource = h.relay.isSource
 	h.elector.StoreLost = h.cache.wakeWaiting
 	h.elector.CampaignRejected = func() { h.Stats.CountEvent("campaign_rejected") }
 	h.Stats.SetGaugeFunc("leader", func() int64 { return indicator(h.elector.IsLeader()) })
@@ -132,33 +143,42 @@
 		_, known := h.elector.Leader()
 		return indicator(known)
 	})
+	h.Stats.SetGaugeFunc("backlogged_workspaces", h.tickets.backloggedWorkspaces)
 	h.relay.promises.HandoverDelay = s.HandoverDelay
 	h.elector.PromisedUntil = h.relay.promises.Until
 	h.reconciler = &reconciler{
 		self: s.Name, elector: h.elector, cache: h.cache, tickets: h.tickets, engines: h.Platform.Engines,
 		stats: h.Stats, log: h.Log,
 	}
+	h.tickets.dial = h.dial
+	h.traffic.Each(func(kind string, messages, bytes func() int64) {
+		h.Stats.SetGaugeFunc("link_messages_"+kind, messages)
+		h.Stats.SetGaugeFunc("link_bytes_"+kind, bytes)
+	})
 	h.tickets.loadAdapters = func(loads []sched.AdapterLoad) { h.reconciler.loadAdapters(ctx, loads) }
 	h.entry = &entry.Server{
 		Headers: h.Platform.Headers, ParseSpec: h.Platform.ParseSpec, ParseLoad: h.Platform.ParseLoad,
 		ParseNotice: h.Platform.ParseNotice, StartCheck: h.Platform.StartCheck, Notices: notices,
-		Domain: s.Domain, Config: h.cache.Config,
-		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Balancer: &entry.Balancer{
+		Domain: s.Domain, Config: h.cache.Config, Keys: h.keys(),
+		Pool: h.Pool, Tickets: h.tickets, Quarantine: h.tickets, Quotas: h.tickets, Balancer: &entry.Balancer{
 			Domain: s.Domain, Upstreams: h.cache.Upstreams, Notices: notices, LimitShare: h.tickets.hostShare,
 		},
 		RetryBudget: &retryBudget{
 			ratio: s.RetryRatio, window: s.RetryWindow, freeRetries: s.RetrySlack,
 			hosts: h.cache.senderCount,
 		},
-		Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
+		Hedges: h.hedges(), Stats: h.Stats, Log: h.Log, Stopping: h.stopStage,
 	}
 	h.limitMemory()
+	if h.Gate == nil {
+		h.Gate = s.NewGate(h.Stats, h.Log)
+	}
 }
 
 func (h *Host) start(ctx context.Context, failed chan<- error) {
 	background := []func(context.Context){
 		h.elector.Run, h.tickets.run, h.tickets.connectLeader, h.reconciler.run, h.sweepIdle, h.relay.run,
-		h.streams.run,
+		h.streams.run, h.tickets.runQuota,
 	}
 	for _, f := range background {
 		go f(ctx)
@@ -177,10 +197,10 @@
 		<-callersClosed
 	}
 	servers := []func() error{
-		func() error { return link.Listen(ctx, h.Settings.Link, h.serveConn) },
+		func() error { return link.Listen(ctx, h.Settings.Link, h.Gate, h.serveConn) },
 		func() error {
 			return h.Platform.Serve(ctx, Endpoints{
-				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.DirectoryAddr, Ready: h.ready,
+				ReadyAddr: h.Settings.ReadyAddr, DirectoryAddr: h.Settings.DirectoryAddr, Gate: h.Gate, Ready: h.ready,
 				Addresses: h.addresses,
 			})
 		},
@@ -201,14 +221,13 @@
 // serveCallers serves callers until ctx ends. Calls that have been read by then get their responses before it returns.
 func (h *Host) serveCallers(ctx context.Context) error {
 	lc := net.ListenConfig{KeepAliveConfig: h1.KeepAlive()}
-	l, err := lc.Listen(ctx, "tcp4", h.Settings.Front)
+	bound, err := lc.Listen(ctx, "tcp4", h.Settings.Front)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	srv := &http.Server{
-		Handler: h.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
-	}
+	l := h.Gate.Wrap(bound, ingres.Port{Name: "front", Share: callerShare, Limits: h.callerLimits})
+	srv := &http.Server{Handler: h.entry}
+	l.Prepare(srv)
 	closed := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -221,6 +240,14 @@
 	return nil
 }
 
+// callerLimits returns the limits of the active configuration, or constants before there is one.
+func (h *Host) callerLimits() topo.Limits {
+	if cfg := h.entry.Config(); cfg != nil {
+		return cfg.Limits
+	}
+	return topo.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // closeServer ends all calls and closes the server when they have got their responses, or after closeTime.
 func (h *Host) closeServer(srv *http.Server) {
 	h.entry.EndCalls()
@@ -243,7 +270,9 @@
 		h.tickets.notices.SetListed(now, ups)
 		k.SetConfig(h.cache.Config())
 		k.SetUpstreams(now, ups)
+		h.tickets.quota.SetWorkspaces(now, h.cache.Config().Workspaces)
 	})
+	h.tickets.wakeQuota()
 }
 
 func (h *Host) leadershipChanged(held bool) {
@@ -275,7 +304,7 @@
 }
 
 func (h *Host) requestStepDown(ctx context.Context, earlier elect.Leader, t elect.Term) (time.Duration, error) {
-	c, err := link.Dial(ctx, earlier.Link)
+	c, err := h.dial(ctx, earlier.Link)
 	if err != nil {
 		return 0, err
 	}
@@ -292,9 +321,19 @@
 	return time.Duration(m.LastOrderAgeMS) * time.Millisecond, nil
 }
 
+// dial connects to another host.
+func (h *Host) dial(ctx context.Context, addr string) (*link.Conn, error) {
+	c, err := link.Dial(ctx, addr)
+	if err == nil {
+		c.Traffic = &h.traffic
+	}
+	return c, err
+}
+
 // serveConn serves a connection of another host; the first message selects how.
 func (h *Host) serveConn(c *link.Conn) {
 	defer c.Close()
+	c.Traffic = &h.traffic
 	m, err := c.Receive()
 	if err != nil {
 		return
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -101,9 +102,10 @@
 	following := make(map[string]context.CancelFunc)
 	lastFetch := time.Time{}
 	var promises promiseRound
-	fetches := 0
+	fetches, scheduled := 0, true
 	for clock.Sleep(ctx, roleInterval) {
 		r.cache.expireGrace(time.Now())
+		schedules := r.cache.schedulesCalls()
 		leader, _ := r.elector.Leader()
 		r.mu.Lock()
 		r.updateHosts()
@@ -115,6 +117,11 @@
 		for _, o := range probes {
 			go r.probeSource(ctx, o)
 		}
+		if schedules && !scheduled && len(list) > 0 {
+			// The request that waits at a source asks for no details.
+			go r.fetchFrom(ctx, list[rand.IntN(len(list))].Link)
+		}
+		scheduled = schedules
 		wanted := make(map[string]bool, len(list))
 		for _, o := range list {
 			wanted[o.Link] = true
@@ -177,8 +184,14 @@
 	defer c.Close()
 	var outdatedSince time.Time
 	var sent notice.Position
+	lapsed := false
 	for ctx.Err() == nil {
-		if err := r.fetchChanges(ctx, c, r.cache.limits.Poll, &sent); err != nil {
+		wait, before := r.cache.limits.Poll, lapsed
+		if lapsed = r.cache.age.Lapsed(r.cache.now()); lapsed && !before {
+			// After a suspension the source confirms the configuration at once.
+			wait = 0
+		}
+		if err := r.fetchChanges(ctx, c, wait, &sent); err != nil {
 			if !errors.Is(err, errSourceLostStore) && !errors.Is(err, errSourceStale) {
 				return err
 			}
@@ -216,6 +229,7 @@
 	r.cache.merge(m.Prefixes, m.Host)
 	r.tickets.mergePoison(m.Poison, m.Host)
 	r.tickets.notices.Merge(time.Now(), m.Notices, m.Host)
+	r.cache.age.Merge(start, m.Config, r.cache.configVersion())
 	if !m.Stale {
 		r.confirm(start + time.Duration(m.ConfirmedMS)*time.Millisecond)
 	}
@@ -265,10 +279,14 @@
 	for _, o := range r.otherHosts() {
 		addrs = append(addrs, o.Link)
 	}
-	if len(addrs) == 0 {
-		return
+	if len(addrs) > 0 {
+		r.fetchFrom(ctx, addrs[n%len(addrs)])
 	}
-	if err := r.fetchOnce(ctx, addrs[n%len(addrs)]); err != nil {
+}
+
+// fetchFrom is fetchOnce for a host that may not answer.
+func (r *watchRelay) fetchFrom(ctx context.Context, addr string) {
+	if err := r.fetchOnce(ctx, addr); err != nil {
 		r.stats.CountEvent("news_failed")
 	}
 }
@@ -296,7 +314,7 @@
 		response := &link.Message{
 			Kind: link.Changes, Host: r.self.Name, Prefixes: states, StoreUnreachable: r.storeUnreachable(),
 			Stale: !r.cache.isCurrent(), ConfirmedMS: (confirmedAt - arrived).Milliseconds(),
-			Poison: r.tickets.poisonState(),
+			Poison: r.tickets.poisonState(), Config: r.cache.age.State(arrived, r.cache.newestConfig),
 		}
 		response.Notices, sent = r.tickets.notices.Changes(time.Now(), sent)
 		if err := c.Send(response); err != nil {
@@ -315,16 +333,16 @@
 func (r *watchRelay) waitForChanges(m *link.Message) ([]link.PrefixState, time.Duration) {
 	timer := time.NewTimer(min(time.Duration(m.WaitMS)*time.Millisecond, r.cache.limits.Poll))
 	defer timer.Stop()
-	_, before, _ := r.cache.changes(nil)
+	_, _, before, _ := r.cache.changes(nil)
 	for {
-		states, confirmedAt, changed := r.cache.changes(m.Prefixes)
-		if len(states) > 0 || confirmedAt > before || r.storeUnreachable() || !r.cache.isCurrent() {
+		states, changed, confirmedAt, next := r.cache.changes(m.Prefixes)
+		if changed || confirmedAt > before || r.storeUnreachable() || !r.cache.isCurrent() {
 			return states, confirmedAt
 		}
 		select {
-		case <-changed:
+		case <-next:
 		case <-timer.C:
-			return nil, confirmedAt
+			return states, confirmedAt
 		}
 	}
 }
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -13,6 +13,7 @@
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/link"
 	"github.com/figreel/figreel/internal/notice"
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/topo"
@@ -40,6 +41,8 @@
 	elector *elect.Elector
 	stats   *stats.Set
 	log     zerolog.Logger
+	// dial connects to another host.
+	dial func(ctx context.Context, addr string) (*link.Conn, error)
 	// departed reports whether an engine has left as far as this host knows.
 	departed func(engine string) bool
 	// loadAdapters orders adapter loads that the scheduler asks for.
@@ -50,6 +53,8 @@
 	streams *streamStore
 	// senders returns the number of hosts that share the limits of upstreams; nil means one.
 	senders func() int
+	// quota charges calls to the quotas of workspaces. It also serves the scheduler.
+	quota *quota.Limiter
 
 	mu            sync.Mutex
 	scheduler     *sched.Scheduler
@@ -60,10 +65,13 @@
 	avoidUntil    time.Time                       // until then the leader gets no ticket requests
 	followers     map[string]*follower
 	wakeCh        chan struct{}
+	quotaDue      map[string]bool // followers that have reported charges
+	quotaCh       chan struct{}   // wakes runQuota
 }
 
 // follower is a host whose calls this host schedules.
 type follower struct {
+	host    string
 	conn    *link.Conn
 	tickets map[uint64]bool // open tickets
 	waiting map[string]bool // calls that wait in the scheduler
@@ -73,12 +81,16 @@
 func newTicketService(
 	self string, s *elect.Elector, notices *notice.Table, st *stats.Set, log zerolog.Logger,
 ) *ticketService {
+	limiter := &quota.Limiter{Self: self}
 	return &ticketService{
-		self: self, elector: s, notices: notices, stats: st, log: log,
-		scheduler: &sched.Scheduler{FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1},
-		replies:   make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
+		self: self, elector: s, notices: notices, stats: st, log: log, quota: limiter,
+		scheduler: &sched.Scheduler{
+			FirstTicket: rand.Uint64() << 32, Notices: notices, LimitShare: 1, Quota: limiter,
+		},
+		quotaDue: make(map[string]bool), quotaCh: make(chan struct{}, 1),
+		replies: make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
 		openTickets: make(map[uint64]*sched.OpenTicket), followers: make(map[string]*follower),
-		wakeCh: make(chan struct{}, 1),
+		wakeCh: make(chan struct{}, 1), dial: link.Dial,
 	}
 }
 
@@ -109,11 +121,12 @@
 func (s *ticketService) requestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	start := time.Now()
 	req.Holds = s.holds()
-	if leader := s.usableLeaderConn(); leader != nil {
+	if leader := s.leaderConnFor(&req); leader != nil {
 		decision, ok, err := s.requestRemote(ctx, leader, req)
 		if ok || err != nil {
 			return decision, err
 		}
+		req.Charged = decision.Kind == sched.Granted
 		s.stats.CountEvent("local_decision")
 	}
 	for {
@@ -125,6 +138,7 @@
 			return decision, err
 		}
 		s.Release(decision.Grant, sched.Canceled)
+		req.Charged = true
 	}
 }
 
@@ -215,6 +229,13 @@
 	return waiting
 }
 
+// backloggedWorkspaces returns the number of workspaces with calls that wait at this host's scheduler.
+func (s *ticketService) backloggedWorkspaces() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.scheduler.BackloggedWorkspaces())
+}
+
 func (s *ticketService) wake() {
 	select {
 	case s.wakeCh <- struct{}{}:
@@ -253,6 +274,28 @@
 	return s.leaderConn
 }
 
+// leaderConnFor returns the connection to the leader for a ticket request, or nil if the local scheduler decides.
+func (s *ticketService) leaderConnFor(req *sched.Request) *link.Conn {
+	if c := s.usableLeaderConn(); c != nil || !s.waitsForLeader(req) {
+		return c
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderConn
+}
+
+// waitsForLeader reports whether a call waits for the leader even if that is slow to reply. While the leader has this
+// host's part of the quotas, the host has next to nothing for calls that it decides on alone.
+func (s *ticketService) waitsForLeader(req *sched.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaderConn == nil || !s.quota.Limits(req.Workspace) {
+		return false
+	}
+	s.updateQuota()
+	return s.quota.Lent()
+}
+
 // requestLocal requests a ticket from the local scheduler.
 func (s *ticketService) requestLocal(ctx context.Context, req sched.Request) (sched.Decision, error) {
 	reply := make(chan sched.Decision, 1)
@@ -307,7 +350,7 @@
 }
 
 // requestRemote requests a ticket from the leader; the bool is false if the leader does not reply or this host knows
-// better than to use its grant.
+// better than to use its grant. In that case the decision is Granted, because the leader has charged the call.
 func (s *ticketService) requestRemote(ctx context.Context, leader *link.Conn, req sched.Request) (
 	sched.Decision, bool, error,
 ) {
@@ -342,11 +385,15 @@
 			returned = true
 			if decision.Kind == sched.Granted && !s.isUsable(&req, decision.Grant) {
 				s.releaseAtLeader(leader, decision.Grant)
-				return sched.Decision{}, false, nil
+				return sched.Decision{Kind: sched.Granted}, false, nil
 			}
 			s.restore(req, decision)
 			return decision, true, nil
 		case <-timer.C:
+			if s.waitsForLeader(&req) {
+				timer.Reset(replyTimeout)
+				continue
+			}
 			s.mu.Lock()
 			s.avoidUntil = time.Now().Add(avoidPeriod)
 			s.mu.Unlock()
@@ -416,6 +463,7 @@
 	t := &sched.OpenTicket{Request: req, Grant: decision.Grant}
 	s.openTickets[decision.Grant.Ticket] = t
 	s.scheduler.RestoreTicket(time.Now(), *t)
+	s.scheduler.LearnGrant(time.Now(), &req, &t.Grant)
 	s.mu.Unlock()
 }
 
@@ -439,7 +487,7 @@
 func (s *ticketService) serveLeader(ctx context.Context, leader elect.Leader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c, err := link.Dial(ctx, leader.Link)
+	c, err := s.dial(ctx, leader.Link)
 	if err != nil {
 		return err
 	}
@@ -459,10 +507,12 @@
 	}
 	s.mu.Lock()
 	s.leaderConn, s.avoidUntil = c, time.Time{}
+	s.quota.Follow(leader.Nonce)
 	s.mu.Unlock()
 	err = s.readReplies(c)
 	s.mu.Lock()
 	s.leaderConn = nil
+	s.quota.Unfollow(clock.SinceBoot(), link.ClosedByPeer(err))
 	for call, reply := range s.remoteReplies {
 		close(reply)
 		delete(s.remoteReplies, call)
@@ -477,6 +527,10 @@
 		if err != nil {
 			return err
 		}
+		if m.Kind == link.Quota {
+			s.receiveQuota(nil, m.Quota)
+			continue
+		}
 		if m.Kind != link.Reply || m.Decision == nil {
 			continue
 		}
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figreel/figreel/internal/entry"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
 )
@@ -28,10 +29,24 @@
 		RetryRatio    float64       // retries allowed per call
 		RetryWindow   time.Duration
 		RetrySlack    float64       // retries allowed in each window on top of the ratio
+		HedgeShare    float64       // share of calls that may get a second attempt beside a slow one; 0 is none
 		HandoverDelay time.Duration // minimum time between orders of two different leaders
 		AddressTTL    time.Duration // maximum time for which callers may cache addresses
 		Cores         float64       // processor time that the host may use, in cores; 0 if it is unknown
 		Memory        int64         // memory that the process may use, in bytes; 0 if it is unknown
+		Descriptors   int           // files that the process may open; 0 for the limit of the process
+		// RevokeTime is the time from a change of the configuration that removes a key until no call that was sent with
+		// it may be executed, also by hosts that the change has not reached; 0 if only the others are bound.
+		RevokeTime time.Duration
+		Quota      QuotaBounds
+	}
+
+	// QuotaBounds is by how much the calls of a workspace may exceed its quota in any window: Overage is a share of
+	// the quota, Slack counts in its units.
+	QuotaBounds struct {
+		Window  time.Duration
+		Overage float64
+		Slack   float64
 	}
 
 	// Platform gives access to the platform and decodes its data; all fields are set before use.
@@ -59,6 +74,7 @@
 	Endpoints struct {
 		ReadyAddr     string
 		DirectoryAddr string
+		Gate          *ingres.Gate // limits of their connections
 		Ready         func() bool
 		// Addresses returns the addresses for callers of a failure domain, and for how long they may cache them.
 		Addresses func(domain string) ([]string, time.Duration)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/figreel/figreel/internal/fresh"
 	"github.com/figreel/figreel/internal/h1"
+	"github.com/figreel/figreel/internal/ingres"
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/sched"
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
@@ -52,6 +58,8 @@
 	Promised
 	// Refused is the response of a host that has seen the lease of that leader end.
 	Refused
+	// Quota tells the leader what plain calls of workspaces have used, and a follower which quotas are used up.
+	Quota
 )
 
 type (
@@ -90,6 +98,12 @@
 		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
 		// FirstEvent the one that the event began.
 		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
+		// Config is the state of the sender's copy of the configuration, with Changes, or nil.
+		Config *fresh.State `cbor:"21,keyasint,omitempty"`
+		// Quota is what Quota tells.
+		Quota *quota.Message `cbor:"22,keyasint,omitempty"`
+		// Speeds holds with Hello the newest estimates of the speed of engines and the cost of models at the sender.
+		Speeds []speed.Estimate `cbor:"23,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
@@ -101,14 +115,25 @@
 		Delta    bool          `cbor:"4,keyasint,omitempty"`
 		Events   []store.Event `cbor:"5,keyasint,omitempty"`
 		Era      int64         `cbor:"6,keyasint,omitempty"`
+		// DetailRevision is the revision as of which the details of the items are complete too, those that say nothing
+		// of where calls may be sent. WantsDetails is set in a request if they are wanted; without it a response may
+		// leave changes of details out, and has no DetailRevision then.
+		DetailRevision int64 `cbor:"7,keyasint,omitempty"`
+		WantsDetails   bool  `cbor:"8,keyasint,omitempty"`
+		// Packed replaces Items and Events, see Pack.
+		Packed []byte `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Conn is a connection to another host. Several goroutines may send; only one may receive.
 	Conn struct {
-		nc  net.Conn
+		// Traffic counts what is sent; nil counts nothing. It is set before the first message.
+		Traffic *Traffic
+
+		nc  *countingConn
 		dec *cbor.Decoder
 		mu  sync.Mutex // held while a message is sent
 		enc *cbor.Encoder
+		in  *inbound // nil for a connection that this host has opened
 	}
 )
 
@@ -121,13 +146,15 @@
 	return NewConn(nc), nil
 }
 
-// Listen accepts connections of other hosts until ctx ends and calls serve for each in its own goroutine.
-func Listen(ctx context.Context, addr string, serve func(*Conn)) error {
+// Listen accepts connections of other hosts until ctx ends and calls serve for each in its own goroutine. It bounds the
+// connections and their messages by the gate.
+func Listen(ctx context.Context, addr string, gate *ingres.Gate, serve func(*Conn)) error {
 	lc := net.ListenConfig{KeepAliveConfig: h1.KeepAlive(), Control: h1.SetUserTimeout}
-	l, err := lc.Listen(ctx, "tcp4", addr)
+	bound, err := lc.Listen(ctx, "tcp4", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen for hosts")
 	}
+	l := gate.Wrap(bound, ingres.Port{Name: portName, Share: portShare, Raw: true})
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	for {
 		nc, err := l.Accept()
@@ -137,7 +164,7 @@
 			}
 			return errors.Wrap(err, "accept connection of host")
 		}
-		go serve(NewConn(nc))
+		go serve(newInbound(nc, gate))
 	}
 }
 
@@ -148,7 +175,10 @@
 	if err := c.nc.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return errors.Wrap(err, "send to host")
 	}
-	if err := c.enc.Encode(m); err != nil {
+	before := c.nc.written
+	err := c.enc.Encode(m)
+	c.Traffic.add(m.Kind, c.nc.written-before)
+	if err != nil {
 		c.Close()
 		return errors.Wrap(err, "send to host")
 	}
@@ -159,8 +189,14 @@
 func (c *Conn) Receive() (*Message, error) {
 	var m Message
 	if err := c.dec.Decode(&m); err != nil {
+		if c.in != nil {
+			c.in.failed(err)
+		}
 		return nil, errors.Wrap(err, "receive from host")
 	}
+	if c.in != nil {
+		c.dec = c.in.received(c.dec)
+	}
 	return &m, nil
 }
 
@@ -177,10 +213,16 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
+// ClosedByPeer reports whether a connection has ended because the other process closed it or ended.
+func ClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Version returns the version of the state.
 func (s *PrefixState) Version() store.Version { return store.Version{Era: s.Era, Revision: s.Revision} }
 
 // NewConn returns a connection to another host over an established transport.
 func NewConn(nc net.Conn) *Conn {
-	return &Conn{nc: nc, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(nc)}
+	counted := &countingConn{Conn: nc}
+	return &Conn{nc: counted, dec: cbor.NewDecoder(nc), enc: cbor.NewEncoder(counted)}
 }
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,11 +1,11 @@
-// Package quota divides the weight store's limits between pools by load tickets.
+// Package quota enforces the usage quotas of workspaces over all hosts together.
 //
-// A load of a model takes a token of loads_per_s and a slot of at_once. A load of an adapter takes only a slot of
-// adapters_in_transit, because it is too small to count against the rate. A limit of 0 means no limit.
+// A Limiter belongs to one host. While the host leads, it keeps one token bucket for each workspace and charges calls
+// of all hosts to it. While the host follows, it charges plain calls from what the leader has last told and reports
+// them in batches. While the host has no leader, it charges all its calls to accounts of its own, which get the host's
+// part of the rate. Every part of the rate belongs to one host or one leader at a time: a follower lends its part to
+// the leader by echoing stamps of the leader's boot clock, and takes it back when the leader must have stopped counting
+// it.
 //
-// The limiter is the host with the lease weight/<env>; it grants the tickets. Without a limiter a load waits. A load
-// that restores a missing item or a minimum number of replicas may use the pool's fixed share after
-// Client.FallbackAfter: the limits divided by the number of pools, rounded down. That keeps within the limits, because
-// a limiter withholds the share of every pool that has not contacted it for a lease time, and because FallbackAfter is
-// longer than a lease time and a load together.
+// The package uses neither the network nor a clock: all times are arguments.
 package quota
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -19,6 +19,8 @@
 	delay         time.Duration // time for which the engine's statements allow no call
 	limited       bool          // the delay is that of the engine's limit
 	evict         *topo.Adapter // adapter to unload first, or nil
+	full          bool          // the engine has no slot or no memory left for the call
+	avoid         bool          // only the score tells whether the engine is better than a full one
 }
 
 // decide grants a ticket for a call, leaves it queued or rejects it.
@@ -27,6 +29,9 @@
 	if left <= 0 {
 		return s.reject(p, ReasonOverload, minRetryAfter)
 	}
+	if p.excess {
+		return s.reject(p, ReasonQueueShare, s.timeAhead(now, p))
+	}
 	if !p.probe && s.Poison.Blocks(&p.Spec) {
 		return s.reject(p, ReasonQuarantine, QuarantineRetryAfter)
 	}
@@ -36,16 +41,20 @@
 	if dec, ok := s.waitForAdapter(now, p); ok {
 		return dec
 	}
-	best, replicas := s.bestCandidate(now, p)
-	if best != nil && best.waitForDecode && now.Equal(p.arrived) {
-		if queued := s.queuedPrefill(p, replicas); best.ttft+queued > p.maxQueueTime(left) {
+	best, speeds := s.bestCandidate(now, p)
+	if s.competes() {
+		if dec, ok := s.compete(now, p, best, speeds); ok {
+			return dec
+		}
+	} else if best != nil && best.waitForDecode && now.Equal(p.arrived) {
+		if queued := s.queuedPrefill(p, speeds); best.ttft+queued > p.maxQueueTime(left) {
 			return s.reject(p, ReasonOverload, queued)
 		}
 	}
 	switch {
 	case best != nil && best.delay > 0:
 		return s.waitForEngine(p, best, left)
-	case best == nil && replicas == 0:
+	case best == nil && speeds == 0:
 		return s.waitForModel(now, p, left)
 	case best == nil:
 		return s.waitOrReject(now, p, left)
@@ -84,36 +93,48 @@
 	return s.grant(now, p, &candidate{engine: e}), true
 }
 
-// bestCandidate returns the candidate with the lowest score, and the number of replicas of the model that are in
-// service.
-func (s *Scheduler) bestCandidate(now time.Time, p *pending) (*candidate, int) {
+// bestCandidate returns the candidate with the lowest score, and the sum of the speeds of the replicas of the model
+// that are in service. An engine without room for the call is chosen only if no other has room and begins in time.
+func (s *Scheduler) bestCandidate(now time.Time, p *pending) (best *candidate, speeds float64) {
 	s.reserveEngines(now)
-	var best *candidate
-	replicas := 0
+	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
+	var withRoom *candidate
+	limit := p.maxQueueTime(p.deadline.Sub(now))
 	for _, e := range s.holders(p.modelKey()) {
 		if !s.serves(now, e, p.Spec.Model) || !p.fits(e) {
 			continue
 		}
-		replicas++
+		speeds += 1 / e.currentSlowdown(now)
 		c := s.evaluate(now, p, e)
 		if c == nil {
 			continue
 		}
-		if best == nil || c.score < best.score || c.score == best.score && e.ID < best.engine.ID {
+		if c.betterThan(best) {
 			best = c
 		}
+		if !c.full && !c.avoid && c.ttft <= limit && c.betterThan(withRoom) {
+			withRoom = c
+		}
+	}
+	if best != nil && best.full && withRoom != nil {
+		best = withRoom
 	}
-	return best, replicas
+	return best, speeds
+}
+
+func (c *candidate) betterThan(other *candidate) bool {
+	return other == nil || c.score < other.score || c.score == other.score && c.engine.ID < other.engine.ID
 }
 
 // evaluate returns the estimates for the call on an engine, or nil if the engine cannot take the call now.
 func (s *Scheduler) evaluate(now time.Time, p *pending, e *engine) *candidate {
 	c := &candidate{engine: e}
 	var prefill time.Duration
-	c.prefillTokens, prefill = s.estimatePrefill(now, p, e)
+	c.prefillTokens, prefill = estimatePrefill(now, p, e)
 	c.ttft = e.prefillBacklog(now) + prefill + responseOverhead
 	if c.delay, c.limited = s.delay(now, p, e); c.delay > 0 {
 		c.ttft += c.delay
+		c.avoid = true
 	}
 	if p.Spec.Adapter != "" {
 		delay, ok := s.adapterDelay(now, p, e, c)
@@ -129,9 +150,10 @@
 	}
 	if slices.Contains(p.Tried, e.ID) {
 		c.score += overloadPenalty
+		c.avoid = true
 	}
 	full := e.kvTokens+c.prefillTokens+p.Spec.OutputTokens > int(maxMemoryShare*float64(e.kvTotal))
-	if full || e.Slots > 0 && len(e.tickets) >= e.Slots {
+	if c.full = full || e.Slots > 0 && len(e.tickets) >= e.Slots; c.full {
 		c.score += overloadPenalty
 		c.ttft += e.prefillBacklog(now)
 	}
@@ -218,6 +240,7 @@
 		return delay, true
 	}
 	if s.PlacementFrom.IsZero() {
+		c.avoid = true
 		return overloadPenalty, true
 	}
 	if now.Before(e.noAdapterLoadsUntil) || now.Before(s.PlacementFrom) {
@@ -269,31 +292,53 @@
 	t := s.newTicket(now, e, p)
 	e.addTicket(now, t)
 	s.Notices.Take(now, e.Instance(), s.LimitShare)
+	s.charge(now, t)
 	e.cache.add(p.prefixKeys, p.Spec.Segments)
 	streams, _ := e.streams()
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
 		PrefillTokens: t.prefillTokens, PrefillTime: e.prefillBacklog(now), Streams: streams,
 		Probe: p.probe, DelayedBy: p.delayedBy, Software: e.Software,
+		Speed: 1 / e.speed.Slowness(now), TokenCost: p.tokenCost, BaseCost: s.speeds.Cost(p.Service, ""),
 	}}
 }
 
 func (s *Scheduler) newTicket(now time.Time, e *engine, p *pending) *ticket {
 	s.lastTicket++
-	tokens, prefill := s.estimatePrefill(now, p, e)
+	p.tokenCost = s.speeds.Cost(p.Service, p.Spec.Model)
+	tokens, prefill := estimatePrefill(now, p, e)
+	backlog, slowdown := e.prefillBacklog(now), e.currentSlowdown(now)
 	t := &ticket{
 		id: s.lastTicket, request: p.Request, engine: e, granted: now,
 		prefillTokens: tokens, kvTokens: tokens + p.Spec.OutputTokens, prefill: prefill,
-		noBacklog: e.prefillBacklog(now) == 0,
+		usualPrefill: scale(1/slowdown, prefill), noBacklog: backlog == 0,
+	}
+	// The length of a backlog that has taken longer than estimated is not known.
+	known := backlog == 0 && tokens >= costMinTokens || backlog > latePrefill
+	if known {
+		t.expected = scale(1/slowdown, backlog+prefill)
 	}
 	s.tickets[t.id] = t
 	return t
 }
 
+// measure updates the estimates of speed and cost with the time to the first event of a call.
+func (s *Scheduler) measure(now time.Time, t *ticket) {
+	if t.expected == 0 {
+		return
+	}
+	model := ""
+	if t.noBacklog {
+		model = t.request.Spec.Model
+	}
+	s.speeds.Measure(now, t.engine.speed, model, now.Sub(t.granted)-responseOverhead, t.expected)
+}
+
 // estimatePrefill returns the number of prompt tokens that the engine has not cached, and the time of their prefill.
-func (s *Scheduler) estimatePrefill(now time.Time, p *pending, e *engine) (tokens int, prefill time.Duration) {
+func estimatePrefill(now time.Time, p *pending, e *engine) (tokens int, prefill time.Duration) {
 	tokens = p.Spec.PromptTokens - e.cache.cachedTokens(p.prefixKeys, p.Spec.Segments)
-	return tokens, time.Duration(float64(tokens) * float64(s.tokenCost(p.Spec.Model)) * e.currentSlowdown(now))
+	prefill = time.Duration(float64(tokens) * float64(p.tokenCost) * e.currentSlowdown(now))
+	return tokens, max(prefill+scale(e.speed.Slowness(now)-1, stepTime), 0)
 }
 
 // waitForModel leaves a call queued while its model can still be loaded before the deadline, and rejects it otherwise.
@@ -317,9 +362,13 @@
 	return Decision{Kind: Waiting, Call: p.Call}
 }
 
-// queuedPrefill estimates the prefill time of the queued calls for the call's model, per replica.
-func (s *Scheduler) queuedPrefill(p *pending, replicas int) time.Duration {
-	return s.queued[p.modelKey()] / time.Duration(max(replicas, 1))
+// queuedPrefill estimates the prefill time of the queued calls for the call's model on its replicas, with the sum of
+// their speeds.
+func (s *Scheduler) queuedPrefill(p *pending, speeds float64) time.Duration {
+	if speeds == 0 {
+		return s.queued[p.modelKey()]
+	}
+	return scale(1/speeds, s.queued[p.modelKey()])
 }
 
 // placementFrom returns the time from which on models and adapters may be loaded for the call.
@@ -373,6 +422,7 @@
 func (s *Scheduler) reject(p *pending, reason string, after time.Duration) Decision {
 	return Decision{
 		Kind: Rejected, Call: p.Call, Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter),
+		Position: p.position, WorkAhead: p.ahead,
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,23 +6,24 @@
 
 	"github.com/figreel/figreel/internal/notice"
 	"github.com/figreel/figreel/internal/poison"
+	"github.com/figreel/figreel/internal/quota"
+	"github.com/figreel/figreel/internal/speed"
 	"github.com/figreel/figreel/internal/topo"
 	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
-	// initialTokenCost is the prefill time per prompt token that is assumed for a model before the first measurement.
-	initialTokenCost = 26 * time.Microsecond
-	// costWeight is the weight of a new measurement in the moving average of a model's prefill time per token.
-	costWeight = 0.2
 	// costMinTokens is the number of prefill tokens below which a call is not used as a measurement.
 	costMinTokens = 400
 	// responseOverhead is the part of the time to the first event that does not depend on the prompt length.
 	responseOverhead = 20 * time.Millisecond
-	// slowdownWeight is the weight of a new measurement in the moving average of an engine's slowdown; maxSlowdown
-	// bounds one measurement.
-	slowdownWeight = 0.2
-	maxSlowdown    = 8.0
+	// stepTime is the part of responseOverhead that grows with the slowdown of an engine: a call waits for the end of
+	// the step that runs, and its last step has a part that does not depend on the prompt.
+	stepTime = 8 * time.Millisecond
+	// maxSlowdown bounds the slowdown that the age of an outstanding prefill shows. Such a prefill is late from
+	// lateFactor times its estimate on.
+	maxSlowdown = 8.0
+	lateFactor  = 1.5
 	// maxStatedSlowdown bounds the slowdown that an engine states, so that no engine is left out for it.
 	// loadTimeConstant is the time constant with which a stated load loses its weight: it changes many times a second.
 	// After maxLoadAge it has none.
@@ -79,8 +80,8 @@
 	minReservedReplicas = 3
 	// reserveInterval is the minimum time between two updates of the set of reserved engines.
 	reserveInterval = 500 * time.Millisecond
-	// overloadPenalty is added to the score of an engine that lacks the memory or a slot for the call, that was tried
-	// before, or that lacks the adapter while no adapters are placed.
+	// overloadPenalty is added to the score of an engine that was tried before, that lacks the adapter while no
+	// adapters are placed, or that lacks the memory or a slot for the call while no other replica has room.
 	overloadPenalty = 2 * time.Second
 	// initialBackoff and maxBackoff bound how long an engine gets no calls after failures.
 	initialBackoff = 150 * time.Millisecond
@@ -121,6 +122,8 @@
 	Streams vers.Table
 	// LimitShare is the share of the engines' limits that the calls of this scheduler may use.
 	LimitShare float64
+	// Quota charges calls to the quotas of workspaces; nil charges nothing.
+	Quota *quota.Limiter
 
 	config       *topo.Config
 	models       map[modelKey]*topo.Model
@@ -130,10 +133,12 @@
 	waiting      []*pending
 	queued       map[modelKey]time.Duration // prefill time of the queued calls
 	lastTicket   uint64
-	tokenCosts   map[string]time.Duration // prefill time per prompt token, by model
+	speeds       speed.Table
 	demand       map[string]*demand
 	adapterLoads []AdapterLoad
 	reservedAt   time.Time
+	fair         fairQueue
+	saturated    map[modelKey]*saturation
 }
 
 // SetConfig sets the active configuration.
@@ -171,6 +176,7 @@
 		e := s.engines[u.ID]
 		if e == nil || e.Boot != u.Boot {
 			e = newEngine(u, spec.KVTokens)
+			e.speed = s.speeds.Engine(u.Service, u.Instance())
 			s.engines[u.ID] = e
 			e.setModels(now, u.Models, nil)
 			s.index.outdated = true
@@ -267,9 +273,23 @@
 	}
 }
 
-// Schedule decides on a call, or queues it until Step decides.
+// Schedule decides on a call, or queues it until Step decides. Before anything else it charges the call to the quota of
+// its workspace.
 func (s *Scheduler) Schedule(now time.Time, q Request) Decision {
 	s.init()
+	charged, dec, ok := s.chargeQuota(now, &q)
+	if !ok {
+		return dec
+	}
+	dec = s.schedule(now, q, charged)
+	if dec.Kind == Rejected {
+		s.Quota.Refund(charged)
+	}
+	return dec
+}
+
+// schedule decides on a call that has been charged.
+func (s *Scheduler) schedule(now time.Time, q Request, charged quota.Receipt) Decision {
 	if s.models[q.modelKey()] == nil {
 		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
 	}
@@ -286,14 +306,14 @@
 		s.addDemand(now, &q)
 	}
 	p := newPending(now, q)
+	p.charged = charged
 	// Only the host that places models tests a quarantine, so that a fleet does not test it all at once.
 	p.probe = !s.PlacementFrom.IsZero() && s.Poison.Blocks(&q.Spec) && s.Poison.Probe(now, &q.Spec)
-	p.prefill = s.unsharedPrefill(&q.Spec)
+	p.prefill = s.unsharedPrefill(&q)
 	p.minTTFT = p.prefill + responseOverhead
 	dec := s.decide(now, p)
 	if dec.Kind == Waiting {
-		s.waiting = append(s.waiting, p)
-		s.queued[p.modelKey()] += p.prefill
+		dec = s.enqueue(now, p, dec)
 	}
 	return dec
 }
@@ -305,6 +325,8 @@
 			return false
 		}
 		s.leaveQueue(p)
+		s.Quota.Refund(p.charged)
+		s.fair.Remove(p)
 		return true
 	})
 }
@@ -328,18 +350,26 @@
 		e.delayed = 0
 	}
 	var out []Decision
+	var decided []*pending
 	queued := s.waiting[:0]
-	for _, p := range s.waiting {
+	for _, p := range s.fairOrder(now) {
 		dec := s.decide(now, p)
 		if dec.Kind == Waiting {
 			queued = append(queued, p)
 			continue
 		}
 		s.leaveQueue(p)
+		if dec.Kind == Rejected {
+			s.Quota.Refund(p.charged)
+		}
+		decided = append(decided, p)
 		out = append(out, dec)
 	}
 	clear(s.waiting[len(queued):])
 	s.waiting = queued
+	for _, p := range decided {
+		s.fair.Remove(p)
+	}
 	return out
 }
 
@@ -362,7 +392,7 @@
 	}
 	t := s.newTicket(now, e, newPending(now, o.Request))
 	delete(s.tickets, t.id)
-	t.id, t.firstEvent = o.Grant.Ticket, o.FirstEvent
+	t.id, t.firstEvent, t.expected = o.Grant.Ticket, o.FirstEvent, 0
 	s.tickets[t.id] = t
 	e.addTicket(now, t)
 }
@@ -381,18 +411,9 @@
 		return
 	}
 	e := t.engine
+	s.measure(now, t)
 	e.startStream(now, t)
 	e.failures = 0
-	took := now.Sub(t.granted) - responseOverhead
-	if t.prefillTokens < costMinTokens || !t.noBacklog || took <= 0 {
-		return
-	}
-	model := t.request.Spec.Model
-	cost := s.tokenCost(model)
-	observed := took / time.Duration(t.prefillTokens)
-	ratio := min(float64(observed)/float64(cost), maxSlowdown)
-	e.slowdown += slowdownWeight * (ratio - e.slowdown)
-	s.tokenCosts[model] = cost + time.Duration(costWeight*float64(min(observed, 2*cost)-cost))
 }
 
 // Release ends a ticket; the outcome determines whether the engine gets further calls.
@@ -458,9 +479,11 @@
 	}
 	s.engines = make(map[string]*engine)
 	s.tickets = make(map[uint64]*ticket)
-	s.tokenCosts = make(map[string]time.Duration)
 	s.demand = make(map[string]*demand)
 	s.queued = make(map[modelKey]time.Duration)
+	s.saturated = make(map[modelKey]*saturation)
+	s.fair.Describe = (*pending).describe
+	s.fair.Engines = s.holders
 	s.lastTicket = s.FirstTicket
 }
 
@@ -473,14 +496,6 @@
 }
 
 // unsharedPrefill returns the estimated prefill time of the prompt tokens that other calls do not share.
-func (s *Scheduler) unsharedPrefill(q *topo.CallSpec) time.Duration {
-	return time.Duration(q.UnsharedTokens()) * s.tokenCost(q.Model)
-}
-
-// tokenCost returns the estimated prefill time of one prompt token of the model.
-func (s *Scheduler) tokenCost(model string) time.Duration {
-	if c := s.tokenCosts[model]; c > 0 {
-		return c
-	}
-	return initialTokenCost
+func (s *Scheduler) unsharedPrefill(q *Request) time.Duration {
+	return time.Duration(q.Spec.UnsharedTokens()) * s.speeds.Cost(q.Service, q.Spec.Model)
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -20,6 +21,9 @@
 	ReasonNoReplica = "no_copy_in_time"
 	// ReasonOverload rejects a call that no engine is expected to serve in time.
 	ReasonOverload = "overloaded"
+	// ReasonQueueShare rejects a call that cannot be served in time, of a workspace that claims more than its share of
+	// the engines of its model.
+	ReasonQueueShare = "queue_share"
 	// ReasonQuarantine rejects a call with prompt segments that crash engines.
 	ReasonQuarantine = "quarantined_prompt"
 	// ReasonLimit rejects a call that the limits that the engines of its model state do not allow in time.
@@ -32,6 +36,8 @@
 	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began
 	// it.
 	ReasonVersionUnknown = "version_unknown"
+	// ReasonOverQuota rejects a call that the quota of its workspace does not allow yet.
+	ReasonOverQuota = "over_quota"
 	// ReasonUnknownModel rejects a call for a model that is not in the configuration.
 	ReasonUnknownModel = "unknown_model"
 )
@@ -81,6 +87,15 @@
 		Software string `cbor:"14,keyasint,omitempty"`
 		// Resumable is set if the stream can be taken up.
 		Resumable bool `cbor:"15,keyasint,omitempty"`
+		// Workspace is the workspace whose key the caller has sent, or empty. Cost is what the call counts as in its
+		// quota.
+		Workspace string  `cbor:"16,keyasint,omitempty"`
+		Cost      float64 `cbor:"17,keyasint,omitempty"`
+		// Charged is set if the call has been charged to the quota of its workspace.
+		Charged bool `cbor:"20,keyasint,omitempty"`
+		// WorkspacePriority is the priority of the workspace where HasWorkspacePriority is set; 0 is the most urgent.
+		WorkspacePriority    int  `cbor:"18,keyasint,omitempty"`
+		HasWorkspacePriority bool `cbor:"19,keyasint,omitempty"`
 	}
 
 	// Hold is an engine that wants no calls from a host for some time.
@@ -99,6 +114,10 @@
 		RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
 		// Final is set if a call was rejected for a stream that is not known, and the store does not know it either.
 		Final bool `cbor:"6,keyasint,omitempty"`
+		// Position and WorkAhead are the place in the fair order of a call that was rejected: the number of calls for
+		// its model that went before it, and their work in tokens.
+		Position  int     `cbor:"7,keyasint,omitempty"`
+		WorkAhead float64 `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Grant names the engine that a call may be sent to.
@@ -120,6 +139,11 @@
 		Software string `cbor:"10,keyasint,omitempty"`
 		// Mixed is set if the engines of the service have several software versions and the stream can be continued.
 		Mixed bool `cbor:"11,keyasint,omitempty"`
+		// Speed, TokenCost and BaseCost are what the scheduler assumes: the speed of the engine as a multiple of the
+		// usual one, and the prefill time per token at usual speed, of the model and of one that was not measured.
+		Speed     float64       `cbor:"12,keyasint,omitempty"`
+		TokenCost time.Duration `cbor:"13,keyasint,omitempty"`
+		BaseCost  time.Duration `cbor:"14,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
@@ -160,11 +184,15 @@
 		request       Request
 		engine        *engine
 		granted       time.Time
-		prefill       time.Duration // estimated prefill time
+		prefill       time.Duration // estimated prefill time when the ticket was granted
 		prefillTokens int           // prompt tokens that are not cached on the engine
 		kvTokens      int           // KV cache that the call needs, in tokens
-		noBacklog     bool          // the engine had no prefill backlog when the ticket was granted
-		firstEvent    bool          // the first event has arrived
+		usualPrefill  time.Duration // prefill on an engine of usual speed
+		// expected is the time until the first event that the ticket was granted for, on an engine of usual speed; 0 if
+		// the call is not used as a measurement.
+		expected   time.Duration
+		noBacklog  bool // the engine had no prefill backlog when the ticket was granted
+		firstEvent bool // the first event has arrived
 	}
 
 	// pending is a ticket request with its queue state.
@@ -176,8 +204,15 @@
 		delayedBy  string        // why statements of engines delayed the call, or empty
 		loadingOn  string        // engine on which the call waits for its adapter, or empty
 		minTTFT    time.Duration // expected time to the first event on an idle engine
+		tokenCost  time.Duration // prefill time per token at usual speed, as of the last decision
 		probe      bool          // the call tests a quarantine
 		prefill    time.Duration // prefill time of the part of the prompt that other calls do not share
+		charged    quota.Receipt
+		position   int     // calls for the model that go before it in the fair order
+		ahead      float64 // work of these calls, in tokens
+		own        float64 // part of it that is of the same workspace
+		excess     bool    // to be rejected because the queue is too long
+		queued     bool    // not decided on arrival
 	}
 )
 
