Search only the new part of a stream for the end of an event

Cause: each read searched the whole unfinished event, so an event without end took time that grows with the square of its size. Under the race detector on a busy machine TestEventWithoutEnd took 11 to 17 s, its bound is 10 s (seen in 2 of 4 runs). The fake retry budget of the tests was used by several goroutines without a lock, which the race detector found in 1 of 4 runs of TestMemoryOfEndlessResponses. Change: the search starts where the end of an event may begin in what was read last; the fake budget is atomic.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -135,14 +135,17 @@
 	f.outcomes = append(f.outcomes, outcome)
 }
 
-type budget struct{ left int }
+type budget struct{ left atomic.Int64 }
+
+func newBudget(retries int) *budget {
+	b := &budget{}
+	b.left.Store(int64(retries))
+	return b
+}
 
 func (b *budget) Earn(string) {}
 
-func (b *budget) Spend(string) bool {
-	b.left--
-	return b.left >= 0
-}
+func (b *budget) Spend(string) bool { return b.left.Add(-1) >= 0 }
 
 const (
 	okResponse  = "HTTP/1.1 200 OK\nX-Id: $ID\nX-Sign: s1\nContent-Length: 4\n\ndone"
@@ -181,7 +184,7 @@
 		Pool:        &h1.Pool{IDHeader: "X-Id"},
 		Tickets:     tk,
 		Balancer:    &entry.Balancer{Upstreams: func(string) []*topo.Upstream { return list }},
-		RetryBudget: &budget{left: retries}, Stats: &stats.Set{}, Log: zerolog.Nop(),
+		RetryBudget: newBudget(retries), Stats: &stats.Set{}, Log: zerolog.Nop(),
 		Stopping: func() (bool, bool) { return false, false },
 	}
 	for _, set := range options {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -22,6 +22,8 @@
 	streamBufferSize = 8 << 10
 	// smallEventBytes is the size of an event that is held even if the memory for responses is used up.
 	smallEventBytes = 2 * streamBufferSize
+	// maxSeparator is the length of the longest end of an event, in bytes.
+	maxSeparator = len("\n\r\n")
 	// maxEventBytes is the size limit of one event of a stream.
 	maxEventBytes = 1 << 20
 )
@@ -182,9 +184,11 @@
 		} else {
 			partial, fits = long.Append(partial, buf[:n])
 		}
-		if end := endOfLastEvent(partial); end > 0 {
-			c.sendEvents(res, g, partial[:end])
-			partial = append(partial[:0], partial[end:]...)
+		// What was read before holds no end of an event, but may hold the start of one.
+		from := max(len(partial)-n-maxSeparator+1, 0)
+		if end := endOfLastEvent(partial[from:]); end > 0 {
+			c.sendEvents(res, g, partial[:from+end])
+			partial = append(partial[:0], partial[from+end:]...)
 		}
 		if len(partial) > maxEventBytes || !fits {
 			c.s.Stats.CountEvent("event_too_long")
