Start the load on quotas when their accounts have filled

Cause: the test of workspaces sent its first calls 2 s after the start of all hosts. On a busy machine the leader's accounts, which start empty, had not filled by then: 3 of 65 calls within a quota were refused in 1 of 3 runs. Change: a deployment with quotas waits until a leader has the parts of all hosts and its accounts have filled.

--- a/internal/emul/site/host.go
+++ b/internal/emul/site/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,7 @@
 	site     *Site
 	index    int
 	settings host.Settings
+	stats    atomic.Pointer[stats.Set] // of the newest process
 
 	mu         sync.Mutex
 	generation int
@@ -85,6 +87,7 @@
 			Settings: h.settings, Pool: &h1.Pool{IDHeader: headerID}, Stats: &stats.Set{}, Stop: stop,
 			Platform: h.site.platform(h.index), Log: log,
 		}
+		h.stats.Store(run.Stats)
 		err := run.Run(ctx)
 		if err == nil {
 			return
@@ -180,3 +183,13 @@
 	n, _ := e.site.notice(u.ID)
 	return topo.OrderRejected, n, errNotTaken
 }
+
+// hasAllQuotas reports whether the host leads and has the parts of the quotas of all hosts.
+func (h *siteHost) hasAllQuotas() bool {
+	st := h.stats.Load()
+	if st == nil {
+		return false
+	}
+	share := st.Gauges.Get("quota_share_permille")
+	return share != nil && share.String() == "1000"
+}
--- a/internal/emul/site/site.go
+++ b/internal/emul/site/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,11 @@
 	plainService   = "plain"
 	// startTime is the time that hosts get to register and to choose a leader before the first call.
 	startTime = 2 * time.Second
+	// maxQuotaWait bounds the wait for a leader with all parts of the quotas, which is looked for every quotaPoll.
+	// fillTime is the time in which an empty account has filled: bursts are what a second of the rate allows.
+	maxQuotaWait = 20 * time.Second
+	quotaPoll    = 50 * time.Millisecond
+	fillTime     = 1100 * time.Millisecond
 	// stopTime is the time that hosts get to end their calls after the last one.
 	stopTime = 3 * time.Second
 )
@@ -104,6 +110,7 @@
 		h.start(ctx)
 	}
 	time.Sleep(startTime)
+	s.waitForQuotas(ctx)
 	s.mu.Lock()
 	s.started = time.Now()
 	s.mu.Unlock()
@@ -116,6 +123,20 @@
 	return &s.report, nil
 }
 
+// waitForQuotas waits until a leader has the parts of the quotas of all hosts and its accounts, which start empty, have
+// filled, at most maxQuotaWait. Calls that come sooner are refused, which is no fault of a deployment in steady state.
+func (s *Site) waitForQuotas(ctx context.Context) {
+	if len(s.Workspaces) == 0 {
+		return
+	}
+	for end := time.Now().Add(maxQuotaWait); time.Now().Before(end) && clock.Sleep(ctx, quotaPoll); {
+		if slices.ContainsFunc(s.hosts, (*siteHost).hasAllQuotas) {
+			clock.Sleep(ctx, fillTime)
+			return
+		}
+	}
+}
+
 // disrupt restarts one host after the other as planned.
 func (s *Site) disrupt(ctx context.Context) {
 	for n, at := range s.RestartAt {
