--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -100,6 +100,7 @@
 	confirmedAt    time.Duration        // boot time as of which items is complete, 0 before the first list
 	sent           link.PrefixState     // the changes that were last sent to another host
 	sentFor        sentRequest          // request to which they were sent
+	list           sentList             // the newest list of all items that was sent
 	failures       int                  // consecutive failed calls for this prefix
 	unreachable    bool                 // the last calls for this prefix failed
 }
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -14,6 +14,7 @@
 ) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	confirmedAt = sc.states[sc.platform.UpstreamPrefix].confirmedAt
 	for _, k := range known {
 		p := sc.states[k.Prefix]
 		if p == nil {
@@ -26,6 +27,11 @@
 		if !k.WantsDetails {
 			k.DetailRevision = 0
 		}
+		if k.Revision == 0 && p.list.at > 0 && sc.now()-p.list.at < maxListAge {
+			out, changed = append(out, p.list.PrefixState), true
+			confirmedAt = min(confirmedAt, p.list.confirmedAt)
+			continue
+		}
 		outdated := k.WantsDetails && p.sent.DetailRevision != p.detailRevision
 		if outdated || p.sent.Version() != p.version || p.sentFor != sentKey(&k) {
 			// Most hosts ask for the same changes.
@@ -33,11 +39,14 @@
 			if err := p.sent.Pack(); err != nil {
 				sc.log.Error().Err(err).Msg("changes are sent uncompressed")
 			}
+			if !p.sent.Delta {
+				p.list = sentList{PrefixState: p.sent, at: sc.now(), confirmedAt: confirmedAt}
+			}
 		}
 		out = append(out, p.sent)
 		changed = changed || p.sent.HasChanges()
 	}
-	return out, changed, sc.states[sc.platform.UpstreamPrefix].confirmedAt, sc.nextChange
+	return out, changed, confirmedAt, sc.nextChange
 }
 
 // sentKey returns what decides about the response to a request for the changes of a prefix.
--- a/internal/host/details.go
+++ b/internal/host/details.go
@@ -13,6 +13,19 @@
 // meanwhile use what they have. At 5 s the details were half of all bytes between 78 hosts.
 const detailsInterval = 20 * time.Second
 
+// maxListAge is how long a list of all items is sent to hosts that know none, although there are newer changes, which
+// they get with their next request. A fleet that starts asks for it at once, and compressing it takes much longer than
+// sending it.
+const maxListAge = time.Second
+
+// sentList is a list of all items of a prefix that was sent.
+type sentList struct {
+	link.PrefixState
+
+	at          time.Duration // boot time, 0 if there is none
+	confirmedAt time.Duration // boot time as of which the upstreams were complete
+}
+
 // sentRequest is what a host asked for in a request for the changes of a prefix.
 type sentRequest struct {
 	since        store.Version
--- a/internal/host/details_test.go
+++ b/internal/host/details_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/figreel/figreel/internal/link"
+	"github.com/figreel/figreel/internal/store/stub"
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -70,3 +72,30 @@
 	}
 	return &topo.Upstream{}
 }
+
+// Guards against a list of all items that is made anew for each host of a fleet that starts, against one that claims to
+// be newer than it is, and against changes that a host misses that got an older list.
+func TestListForStartingHosts(t *testing.T) {
+	withCache(t, func(s *stub.Store, sc *storeCache) {
+		starting := []link.PrefixState{{Prefix: "up/", WantsDetails: true}}
+		first, _, confirmed, _ := sc.changes(starting)
+		s.Set("up/e3", "llm ready")
+		time.Sleep(maxListAge / 2)
+		second, changed, at, _ := sc.changes(starting)
+		if second[0].Revision != first[0].Revision || !changed || at > confirmed {
+			t.Errorf("list of revision %d, as of %v, after one of %d as of %v",
+				second[0].Revision, at, first[0].Revision, confirmed)
+		}
+		other := testCache(&stub.Store{})
+		other.merge(second, "another host")
+		rest, _, _, _ := sc.changes(other.knownRevisions())
+		other.merge(rest, "another host")
+		if got := ids(other); got != "e1 e2 e3" {
+			t.Errorf("upstreams %q after the list and the changes", got)
+		}
+		time.Sleep(maxListAge)
+		if third, _, _, _ := sc.changes(starting); third[0].Revision <= first[0].Revision {
+			t.Error("the list is not renewed")
+		}
+	})
+}
--- a/internal/host/restore.go
+++ b/internal/host/restore.go
@@ -32,6 +32,7 @@
 		p.deletions[i].Revision = 0
 	}
 	p.deletionsSince = revision
+	p.list = sentList{}
 }
 
 // putCopied stores an item of a restored store. It may be older than what this host knows: an instance of an upstream
