Look up keys and update quotas in one place

Cause: a read-through of the change. Result: linters, tests of entry and loads with the race detector, and of host on one processor pass.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -193,7 +193,8 @@
 	if c.ctx.Err() != nil || c.deadline.Sub(now) < minAttemptTime {
 		return nil, refusedCall
 	}
-	if !c.keyAllowsSecond() {
+	// A refusal ends only the second attempt; the first one goes on.
+	if c.lookUpKey() != "" {
 		return nil, refusedKey
 	}
 	if c.s.Quarantine != nil && !c.s.Quarantine.Admits(&c.spec) {
@@ -213,19 +214,6 @@
 	return u, ""
 }
 
-// keyAllowsSecond is checkKey for an attempt beside a running one, which goes on if the key is refused.
-func (c *call) keyAllowsSecond() bool {
-	if c.s.Keys == nil {
-		return true
-	}
-	w, keyed, refusal := c.s.Keys.Check(c.route.Public, c.r.Header.Values(c.s.Headers.Key))
-	if refusal != "" {
-		return false
-	}
-	c.workspace, c.keyed = w, keyed
-	return true
-}
-
 // served reports whether the response is one for which no other attempt would be made.
 func (c *call) served(x *exchange) bool {
 	return x.err == nil && x.res.Status < http.StatusInternalServerError && !saysNotExecuted(x.res.Status) &&
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -19,13 +19,8 @@
 // checkKey finds the workspace of the call by its key in the configuration that is active now. It reports whether the
 // call may be sent to an upstream; if not, it has ended the call.
 func (c *call) checkKey() bool {
-	if c.s.Keys == nil {
-		return true
-	}
-	w, keyed, refusal := c.s.Keys.Check(c.route.Public, c.r.Header.Values(c.s.Headers.Key))
-	switch {
+	switch refusal := c.lookUpKey(); {
 	case refusal == "":
-		c.workspace, c.keyed = w, keyed
 		return true
 	case refusal == creds.ReasonStale || c.mayHaveExecuted || c.callerLeft():
 		c.finishWithoutResponse(refusal)
@@ -36,6 +31,18 @@
 	return false
 }
 
+// lookUpKey finds the workspace of the call as checkKey does, and returns the reason if the call may not be sent.
+func (c *call) lookUpKey() (refusal string) {
+	if c.s.Keys == nil {
+		return ""
+	}
+	w, keyed, refusal := c.s.Keys.Check(c.route.Public, c.r.Header.Values(c.s.Headers.Key))
+	if refusal == "" {
+		c.workspace, c.keyed = w, keyed
+	}
+	return refusal
+}
+
 // setWorkspace replaces the caller's credentials in the header of a request to an upstream by the name of its
 // workspace, if calls need keys.
 func (c *call) setWorkspace(h http.Header) {
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -84,14 +84,13 @@
 
 func (s *ticketService) requestFor(f *follower, req sched.Request) {
 	s.mu.Lock()
-	s.updateQuota()
+	s.updateLimitShare()
 	if s.quota.Active() && !s.quota.Leads() {
 		// The follower takes its part of the quotas back when its leader closes the connection.
 		s.mu.Unlock()
 		f.conn.Close()
 		return
 	}
-	s.updateLimitShare()
 	decision := s.schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
