Save the records of streams while the leader does not listen

Cause: a host left saving to the leader for as long as its connection to it was open, which that of a suspended leader is until another one leads. Ticket requests noticed the silence after 80 ms; saving did not ask them.

One answer, listeningLeader, now serves ticket requests and saving, and after a longer silence also the choice of what a host fetches. Messages that need no reply show the silence too. Why it works: nothing that a suspended or cut off leader leaves open is taken for a sign of life.

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -33,6 +33,9 @@
 	s.scheduler.LearnSpeeds(time.Now(), hello.Speeds)
 	s.mu.Unlock()
 	s.wakeQuota()
+	c.Acknowledge(ackDelay, func(err error) {
+		s.log.Warn().Err(err).Str("follower", hello.Host).Msg("messages of host cannot be acknowledged")
+	})
 	for {
 		m, err := c.Receive()
 		if err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -127,7 +127,7 @@
 	}
 	h.tickets.streams = h.streams
 	h.cache.onChange = h.updateScheduler
-	h.cache.schedules = func() bool { return h.elector.IsLeader() || !h.tickets.hasLeader() }
+	h.cache.schedules = func() bool { return h.elector.IsLeader() || h.tickets.schedulesAlone() }
 	h.elector.StoreReachable = h.cache.retryStore
 	h.elector.Hosts = h.cache.hostCount
 	h.relay = &watchRelay{
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -95,13 +95,14 @@
 	}
 )
 
-// run saves new records while this host is the leader, and those of its own streams while it has none, until ctx ends.
+// run saves new records while this host is the leader, and those of its own streams while no leader listens, until
+// ctx ends.
 func (s *streamStore) run(ctx context.Context) {
 	for interval := saveInterval; clock.Sleep(ctx, interval); {
 		save := s.save
 		if interval = saveInterval; !s.elector.IsLeader() {
 			s.setLoaded(false, nil)
-			if s.tickets.hasLeader() {
+			if s.tickets.listeningLeader() != nil {
 				continue
 			}
 			save, interval = s.saveOwn, max(saveInterval, s.hostInterval())
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -318,6 +318,60 @@
 	})
 }
 
+// follow connects a host to a leader. The returned function suspends the leader, as far as the host can tell.
+func follow(t *testing.T, host, leader *ticketService) (suspend func()) {
+	t.Helper()
+	machine := &fleetHost{}
+	ours, theirs := net.Pipe()
+	c := link.NewConn(&fleetConn{ours, &fleetHost{}, machine})
+	go func() {
+		c := link.NewConn(&fleetConn{theirs, machine, &fleetHost{}})
+		if m, err := c.Receive(); err == nil {
+			leader.serveFollower(c, m)
+		}
+	}()
+	host.mu.Lock()
+	hello := host.hello()
+	host.leaderConn = c
+	host.mu.Unlock()
+	if err := c.Send(hello); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = host.readReplies(c) }()
+	t.Cleanup(c.Close)
+	return func() { machine.silent.Store(true) }
+}
+
+// Guards against streams that cannot be taken up at other hosts because they began while the leader was suspended: its
+// connections stay open, so its followers left it to the leader to save the records. Guards also against followers of a
+// leader in good order that save records too.
+func TestStreamsBesideSuspendedLeader(t *testing.T) {
+	withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+		host := streamTickets(s, "v1", "v2")
+		list(leader, "v1", "v2")
+		suspend := follow(t, host, leader)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go host.streams.run(ctx)
+		begin(host, host, "a", "v1")
+		time.Sleep(10 * time.Second)
+		begin(host, host, "b", "v1")
+		time.Sleep(time.Second)
+		if n := host.stats.Events.Get("stream_saves"); n != nil {
+			t.Errorf("%v saves by the follower of a leader in good order", n)
+		}
+		suspend()
+		begin(host, host, "c", "v2")
+		time.Sleep(time.Second)
+		fresh := streamTickets(s, "v1", "v2")
+		for id, want := range map[string]string{"a": "v1", "b": "v1", "c": "v2"} {
+			if got := takeUp(t, fresh, id); got != want {
+				t.Errorf("take-up of %s: %q, want %q", id, got, want)
+			}
+		}
+	})
+}
+
 // Guards against a new leader that does not know the streams that began at the hosts that follow it, nor the speeds
 // that the leader before it granted them with.
 func TestFollowerTellsItsStreams(t *testing.T) {
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -25,6 +25,13 @@
 	replyTimeout = 80 * time.Millisecond
 	// avoidPeriod is how long ticket requests go to the local scheduler after the leader did not reply.
 	avoidPeriod = 400 * time.Millisecond
+	// ackDelay is how long the leader may wait with the acknowledgement of a message, for one that it sends anyway.
+	ackDelay = 100 * time.Millisecond
+	// maxStall is how long the leader may acknowledge nothing before this host does without it.
+	maxStall = ackDelay + replyTimeout
+	// detailsStall is the same before this host fetches what it needs to schedule for longer, which costs its sources
+	// much.
+	detailsStall = 500 * time.Millisecond
 	// stepInterval is the interval between scheduler steps while calls wait.
 	stepInterval = 4 * time.Millisecond
 	// redialDelay is the delay between two connection attempts to the leader, and the interval of checks whether the
@@ -258,25 +265,27 @@
 	}
 }
 
-// hasLeader reports whether this host is connected to a leader.
-func (s *ticketService) hasLeader() bool {
+// listeningLeader returns the connection to the leader, or nil if this host has none or the leader does not handle what
+// it is sent: it may be suspended or cut off while the connection stays open.
+func (s *ticketService) listeningLeader() *link.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaderConn != nil
+	if s.leaderConn == nil || time.Now().Before(s.avoidUntil) || s.leaderConn.Stalled() > maxStall {
+		return nil
+	}
+	return s.leaderConn
 }
 
-func (s *ticketService) usableLeaderConn() *link.Conn {
+// schedulesAlone reports whether this host has had to do without a leader for a while, or has no connection to one.
+func (s *ticketService) schedulesAlone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaderConn == nil || time.Now().Before(s.avoidUntil) {
-		return nil
-	}
-	return s.leaderConn
+	return s.leaderConn == nil || s.leaderConn.Stalled() > detailsStall
 }
 
 // leaderConnFor returns the connection to the leader for a ticket request, or nil if the local scheduler decides.
 func (s *ticketService) leaderConnFor(req *sched.Request) *link.Conn {
-	if c := s.usableLeaderConn(); c != nil || !s.waitsForLeader(req) {
+	if c := s.listeningLeader(); c != nil || !s.waitsForLeader(req) {
 		return c
 	}
 	s.mu.Lock()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -60,6 +60,8 @@
 	Refused
 	// Quota tells the leader what plain calls of workspaces have used, and a follower which quotas are used up.
 	Quota
+	// Ack only acknowledges messages.
+	Ack
 )
 
 type (
@@ -104,6 +106,8 @@
 		Quota *quota.Message `cbor:"22,keyasint,omitempty"`
 		// Speeds holds with Hello the newest estimates of the speed of engines and the cost of models at the sender.
 		Speeds []speed.Estimate `cbor:"23,keyasint,omitempty"`
+		// Acked is the number of messages that the sender has received on the connection, if it acknowledges them.
+		Acked uint64 `cbor:"24,keyasint,omitempty"`
 	}
 
 	// PrefixState is the state of the store below a prefix at a version. It holds all items, or with Delta set the
@@ -129,11 +133,12 @@
 		// Traffic counts what is sent; nil counts nothing. It is set before the first message.
 		Traffic *Traffic
 
-		nc  *countingConn
-		dec *cbor.Decoder
-		mu  sync.Mutex // held while a message is sent
-		enc *cbor.Encoder
-		in  *inbound // nil for a connection that this host has opened
+		nc   *countingConn
+		dec  *cbor.Decoder
+		mu   sync.Mutex // held while a message is sent
+		enc  *cbor.Encoder
+		in   *inbound // nil for a connection that this host has opened
+		acks ackState
 	}
 )
 
@@ -176,7 +181,9 @@
 		return errors.Wrap(err, "send to host")
 	}
 	before := c.nc.written
-	err := c.enc.Encode(m)
+	out := *m
+	out.Acked = c.acks.sending(time.Now())
+	err := c.enc.Encode(&out)
 	c.Traffic.add(m.Kind, c.nc.written-before)
 	if err != nil {
 		c.Close()
@@ -197,6 +204,9 @@
 	if c.in != nil {
 		c.dec = c.in.received(c.dec)
 	}
+	if c.acks.received(time.Now(), m.Acked) {
+		time.AfterFunc(c.acks.delay, c.sendAck)
+	}
 	return &m, nil
 }
 
