Confirm at the store that one software version serves before a stream goes on at it

What callers would see: during a release a stream that began at a new version goes on at an old one (rule ORDER), at a host that has not heard of the new version yet. Reported by operators of a similar system; the question was whether it can happen here.

Cause: whether the list of upstreams shows all versions that may have begun a stream was decided by its age, up to 0.9 s, and by the key that names services with several versions, which the leader writes up to 250 ms after it knows, and not at all while it is suspended.

Evidence: TestTakeUpBesideNewVersion failed before in all four rows ('take-up of a stream that may be of either version: "v1"'), with a list that was 20 ms old.

Change: the host that takes a stream up asks the store for the changes of upstreams since its own version, after the question was asked, and goes on only if they and the records show no other version. Without the store it rejects the take-up. Why it works: an engine that began the stream was listed before the take-up arrived, so the changes up to now name its version. The leader does not answer from its list alone any more: the row "one version" of TestLeaderKnowsOfStreams, which forbade asking the store there, was wrong for that reason and now requires it; the row of a list out of date became one of a list that cannot be refreshed. Table.Complete has no caller left, so it goes, with its column in TestVersions. Calls that share a run moved to package batch.

Cost: a take-up that nobody knows makes one list and one watch call, at most 200 calls a second for all of 370 hosts (docs/CAPACITY.md).

--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -38,6 +38,8 @@
 	initialBackoff = 100 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch call for upstreams.
 	minWatchWait = 50 * time.Millisecond
+	// refreshWait is the wait of a watch call that asks for the changes up to now.
+	refreshWait = time.Millisecond
 	// batchDelay is the pause after a watch call that returned changes of upstreams or hosts. The next call then
 	// returns several changes at once, which saves calls: the platform charges for each.
 	batchDelay = 400 * time.Millisecond
@@ -78,6 +80,7 @@
 	hosts       map[string]topo.Host
 	lapsed      map[string]time.Duration // boot times at which registrations ended
 	ended       map[string]endedUpstream // upstreams whose entries were removed lately
+	retired     map[serviceVersion]bool  // of upstreams removed or replaced since the last call of takeRetired
 	hostsChange int                      // number of changes of hosts
 	outageAt    time.Duration            // boot time at which an outage was last confirmed, 0 if there is none
 	outageEnd   time.Duration            // boot time at which the copy was first confirmed after an outage, 0 before
@@ -85,6 +88,9 @@
 	retryNow    chan struct{}            // closed when calls to the store should be tried again at once
 }
 
+// serviceVersion is a software version of a service.
+type serviceVersion struct{ service, software string }
+
 // prefixState is the copy of the items below one prefix.
 type prefixState struct {
 	prefix         string
@@ -112,6 +118,7 @@
 		platform: p, limits: limits, elector: s, stats: st, log: log, states: make(map[string]*prefixState),
 		upstreams: make(map[string]*topo.Upstream), hosts: make(map[string]topo.Host),
 		lapsed: make(map[string]time.Duration), ended: make(map[string]endedUpstream),
+		retired:    make(map[serviceVersion]bool),
 		nextChange: make(chan struct{}), retryNow: make(chan struct{}),
 		now: clock.SinceBoot, age: &fresh.Copy{Place: rand.Float64()},
 	}
@@ -282,6 +289,27 @@
 	return nil
 }
 
+// refresh brings the copy of the upstreams up to date with the store, as of a moment after the call begins.
+func (sc *storeCache) refresh(ctx context.Context) error {
+	sc.mu.Lock()
+	after := sc.states[sc.platform.UpstreamPrefix].version
+	sc.mu.Unlock()
+	if after.Revision == 0 {
+		return errors.New("the upstreams are not known yet")
+	}
+	events, as, err := sc.platform.Store.Watch(ctx, sc.platform.UpstreamPrefix, after, refreshWait)
+	if err != nil {
+		return err
+	}
+	if as.Era != after.Era {
+		return store.ErrRestored
+	}
+	sc.apply(link.PrefixState{
+		Prefix: sc.platform.UpstreamPrefix, Revision: as.Revision, Era: as.Era, Delta: true, Events: events,
+	}, originStore)
+	return nil
+}
+
 // markFailed records a failed call. The store may end a call that waits, so only a second failure in a row means that
 // it is unreachable.
 func (sc *storeCache) markFailed(prefix string, err error) {
@@ -481,7 +509,7 @@
 		u, err := sc.platform.Upstream(it)
 		if err != nil {
 			sc.log.Warn().Err(err).Msg("invalid upstream entry")
-			delete(sc.upstreams, key)
+			sc.retire(key)
 			return
 		}
 		if old := sc.upstreams[key]; old == nil || old.Leaving != u.Leaving || old.Boot != u.Boot {
@@ -489,6 +517,7 @@
 				Str("software", u.Software).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream changed")
 		}
 		u.Revision = it.Revision
+		sc.retire(key)
 		sc.upstreams[key] = u
 		delete(sc.ended, key)
 	default:
--- a/internal/host/cache_test.go
+++ b/internal/host/cache_test.go
@@ -22,7 +22,7 @@
 )
 
 // testPlatform returns a platform whose configurations are version numbers and whose upstreams look like "svc ready",
-// with the resident models after it.
+// with the resident models and "software:v1" after it.
 func testPlatform(s store.Store) *Platform {
 	return &Platform{
 		Store: s, ConfigPrefix: "conf/", UpstreamPrefix: "up/",
@@ -37,8 +37,12 @@
 			}
 			id := strings.TrimPrefix(it.Key, "up/")
 			u := &topo.Upstream{ID: id, Service: words[0], Leaving: words[1] == "leaving"}
-			for _, model := range words[2:] {
-				u.Models = append(u.Models, topo.Resident{Name: model})
+			for _, word := range words[2:] {
+				if software, ok := strings.CutPrefix(word, "software:"); ok {
+					u.Software, u.Slots = software, 8
+					continue
+				}
+				u.Models = append(u.Models, topo.Resident{Name: word})
 			}
 			return u, nil
 		},
--- a/internal/host/grace.go
+++ b/internal/host/grace.go
@@ -61,7 +61,7 @@
 func (sc *storeCache) discard(key string, from origin) {
 	if u := sc.upstreams[key]; u != nil {
 		sc.log.Info().Str("upstream", u.ID).Str("via", from.via).Dur("age_ms", from.age).Msg("upstream removed")
-		delete(sc.upstreams, key)
+		sc.retire(key)
 		sc.addEnded(key, u.Boot)
 	}
 	if _, ok := sc.hosts[key]; ok {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,9 +122,10 @@
 	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
-		isCurrent: h.cache.isCurrent, knownEra: h.cache.era,
+		refresh: h.cache.refresh, knownEra: h.cache.era,
 		hosts: h.cache.hostCount,
 	}
+	h.streams.init()
 	h.tickets.streams = h.streams
 	h.cache.onChange = h.updateScheduler
 	h.cache.schedules = func() bool { return h.elector.IsLeader() || h.tickets.schedulesAlone() }
@@ -270,6 +271,9 @@
 		h.tickets.notices.SetListed(now, ups)
 		k.SetConfig(h.cache.Config())
 		k.SetUpstreams(now, ups)
+		for _, v := range h.cache.takeRetired() {
+			k.Streams.SetInService(now, v.service, v.software)
+		}
 		h.tickets.quota.SetWorkspaces(now, h.cache.Config().Workspaces)
 	})
 	h.tickets.wakeQuota()
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/figreel/figreel/internal/batch"
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/elect"
 	"github.com/figreel/figreel/internal/sched"
@@ -57,8 +58,8 @@
 		tickets *ticketService
 		stats   *stats.Set
 		log     zerolog.Logger
-		// isCurrent reports whether the list of upstreams is up to date.
-		isCurrent func() bool
+		// refresh brings the list of upstreams up to date with the store.
+		refresh func(context.Context) error
 		// knownEra returns the newest era of the store that this host knows.
 		knownEra func() int64
 		// hosts returns the number of registered hosts.
@@ -72,17 +73,16 @@
 		keySeq   int
 		failing  bool // the last call for saving failed
 
+		reads     batch.Call[*streamRead] // of the records, which are added to those of the scheduler
+		refreshes batch.Call[struct{}]
+
 		mu     sync.Mutex
 		loaded bool                // this host leads and has read what the leaders before it have written
 		saved  map[string][]string // versions of the services as the store has them
-		next   *streamRead         // the read that has not begun
-		readAt time.Time           // when the last read began
 	}
 
-	// streamRead is a read of all keys; several calls may wait for it.
+	// streamRead is what the store has at a time.
 	streamRead struct {
-		done  chan struct{}
-		err   error
 		mixed map[string][]string // versions by service
 		era   int64
 		keys  []string // of records
@@ -263,7 +263,7 @@
 // load reads what the store has. What a new leader finds there counts as in service until now, because it does not know
 // when the versions ended.
 func (s *streamStore) load(ctx context.Context) error {
-	r, err := s.read(ctx)
+	r, err := s.reads.Do(ctx)
 	if err != nil {
 		return err
 	}
@@ -300,40 +300,28 @@
 	return nil
 }
 
-// read reads the records that are in the store when it is called or later, and adds them to those of the scheduler.
-// Calls at the same time share a read.
-func (s *streamStore) read(ctx context.Context) (*streamRead, error) {
-	s.mu.Lock()
-	r := s.next
-	if r == nil {
-		r = &streamRead{done: make(chan struct{})}
-		s.next = r
-		interval := max(lookupInterval, s.hostInterval())
-		time.AfterFunc(time.Until(s.readAt.Add(interval)), func() { s.list(r) })
-	}
-	s.mu.Unlock()
-	select {
-	case <-r.done:
-		return r, r.err
-	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "read records of streams")
+// init sets up the calls that several takers-up of streams share. It is called before any other method.
+func (s *streamStore) init() {
+	interval := func() time.Duration { return max(lookupInterval, s.hostInterval()) }
+	s.reads.Run, s.reads.Interval = s.read, interval
+	s.refreshes.Interval = interval
+	s.refreshes.Run = func() (struct{}, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+		defer cancel()
+		return struct{}{}, s.refresh(ctx)
 	}
 }
 
-func (s *streamStore) list(r *streamRead) {
-	defer close(r.done)
-	s.mu.Lock()
-	s.next, s.readAt = nil, time.Now()
-	s.mu.Unlock()
+// read reads the records in the store and adds them to those of the scheduler.
+func (s *streamStore) read() (*streamRead, error) {
 	s.stats.CountEvent("stream_lookups")
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
 	defer cancel()
 	items, as, err := s.store.List(ctx, streamPrefix)
 	if err != nil {
-		r.err = err
-		return
+		return nil, err
 	}
-	r.era, r.mixed = as.Era, make(map[string][]string)
+	r := &streamRead{era: as.Era, mixed: make(map[string][]string)}
 	var records []vers.Record
 	for _, it := range items {
 		if service, ok := strings.CutPrefix(it.Key, mixedPrefix); ok {
@@ -355,24 +343,20 @@
 	s.tickets.mu.Lock()
 	defer s.tickets.mu.Unlock()
 	s.tickets.scheduler.Streams.Load(time.Now(), records...)
+	return r, nil
 }
 
-// schedule asks the local scheduler for a decision. As the leader, it also decides on take-ups of streams that it does
-// not know, if it knows what the store has and the list of upstreams is up to date. s.mu is held.
+// schedule asks the local scheduler for a decision. A rejected take-up of a stream that nobody knows is final if this
+// host leads and knows what the store has. If one version is in service, the store is asked all the same, because
+// another one may have been listed since this host's copy was confirmed. s.mu is held.
 func (s *ticketService) schedule(now time.Time, req sched.Request) sched.Decision {
 	decision := s.scheduler.Schedule(now, req)
 	if decision.Reason != sched.ReasonVersionUnknown || s.streams == nil {
 		return decision
 	}
 	loaded, saved := s.streams.state()
-	if !loaded || !s.streams.isCurrent() {
-		return decision
-	}
-	if versions := s.scheduler.Streams.Versions(now, req.Service); len(versions) == 1 && len(saved[req.Service]) == 0 {
-		req.Software = versions[0]
-		return s.scheduler.Schedule(now, req)
-	}
-	decision.Final = true
+	several := len(s.scheduler.Streams.Versions(now, req.Service)) > 1 || len(saved[req.Service]) > 0
+	decision.Final = loaded && several
 	return decision
 }
 
@@ -386,29 +370,30 @@
 }
 
 // findSoftware returns the software version that began the stream of a call, which neither this host nor the leader
-// remembers. If the store knows of only one version in service, it is that one; without the store, it is only if this
-// host has known of no other for as long as a stream can last.
+// remembers. If the store knows of only one version in service, and lists no other one now, it is that one. A host that
+// cannot read the store does not know that, however new its list is.
 func (s *ticketService) findSoftware(ctx context.Context, req *sched.Request) (string, bool) {
 	if s.streams == nil {
 		return "", false
 	}
-	r, err := s.streams.read(ctx)
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	streams := &s.scheduler.Streams
-	if software, ok := streams.Lookup(req.Resumes); ok {
+	r, err := s.streams.reads.Do(ctx)
+	if software := s.softwareOf(req.Resumes); software != "" {
 		return software, true
 	}
-	versions := streams.Versions(now, req.Service)
-	switch {
-	case len(versions) != 1:
-		return "", false
-	case err != nil:
+	if err == nil && len(r.mixed[req.Service]) == 0 {
+		_, err = s.streams.refreshes.Do(ctx)
+	}
+	if err != nil {
 		s.log.Info().Err(err).Str("call", req.Call).Msg("records of streams cannot be read")
-		return versions[0], streams.Complete(now) && s.streams.isCurrent()
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.scheduler.Streams.Versions(time.Now(), req.Service)
+	if len(versions) != 1 || len(r.mixed[req.Service]) > 0 {
+		return "", false
 	}
-	return versions[0], len(r.mixed[req.Service]) == 0
+	return versions[0], true
 }
 
 // noteMixed sets in a grant whether the service has several versions, so that the start of the engine has to be
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -29,9 +29,10 @@
 	tk.departed = func(string) bool { return false }
 	tk.streams = &streamStore{
 		store: s, elector: tk.elector, tickets: tk, stats: tk.stats, log: tk.log,
-		isCurrent: func() bool { return true }, knownEra: func() int64 { return 0 },
+		refresh: func(context.Context) error { return nil }, knownEra: func() int64 { return 0 },
 		hosts: func() int { return 6 },
 	}
+	tk.streams.init()
 	tk.scheduler.SetConfig(&topo.Config{
 		Routes: []topo.Route{{Kind: topo.Stream, Resumable: true, Timeout: streamTimeout}},
 		Services: map[string]topo.Service{"llm": {
@@ -213,7 +214,8 @@
 }
 
 // Guards against a host that asks the store for streams of which its leader knows that nobody knows them, and against a
-// leader that answers so before it knows what the store has, or without an up to date list.
+// leader that answers so before it knows what the store has. A leader never answers from its list alone that a stream
+// is of the only version, see TestTakeUpBesideNewVersion.
 func TestLeaderKnowsOfStreams(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
@@ -223,10 +225,10 @@
 		asks   bool // the store
 	}{
 		{"several versions", "v1 v2", func(*ticketService) {}, sched.ReasonVersionUnknown, false},
-		{"one version", "v2", func(*ticketService) {}, "v2", false},
-		{"one version, list out of date", "v2", func(leader *ticketService) {
-			leader.streams.isCurrent = func() bool { return false }
-		}, "v2", true},
+		{"one version", "v2", func(*ticketService) {}, "v2", true},
+		{"one version, list cannot be refreshed", "v2", func(leader *ticketService) {
+			leader.streams.refresh = func(context.Context) error { return store.ErrCompacted }
+		}, sched.ReasonVersionUnknown, true},
 		{"several versions, store not read yet", "v1 v2", func(leader *ticketService) {
 			leader.streams.setLoaded(false, nil)
 		}, sched.ReasonVersionUnknown, true},
@@ -248,6 +250,81 @@
 	}
 }
 
+// Guards against streams of two software versions because a host goes on at the only version that it knows, while
+// another one has been in service for a moment: with a list of upstreams that is old, but not too old to be used.
+func TestTakeUpBesideNewVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		leads  bool
+		before func(*stub.Store)
+		after  string // entry of the new engine at the time of the take-up; empty if it has left
+	}{
+		{"leader", true, nil, "llm ready m software:v2"},
+		{"host without a leader", false, nil, "llm ready m software:v2"},
+		{"host without a leader, the engine has left", false, nil, ""},
+		{"host without a leader, which cannot read the store", false, func(s *stub.Store) {
+			s.Fault = func(string) error { return store.ErrNotExecuted }
+		}, "llm ready m software:v2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &stub.Store{}
+				s.Set("conf/main", "5")
+				s.Set("up/e1", "llm ready m software:v1")
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() {
+					s.Do(func() { s.Fault = nil })
+					cancel()
+					time.Sleep(15 * time.Second)
+				}()
+				tk := listeningTickets(ctx, s, tt.leads)
+				time.Sleep(5 * streamTimeout)
+				if got := takeUp(t, tk, "a"); got != "v1" {
+					t.Errorf("take-up while one version serves: %q, want v1", got)
+				}
+				// A watch that has returned changes is followed by a pause.
+				s.Set("up/e1", "llm ready m n software:v1")
+				time.Sleep(10 * time.Millisecond)
+				s.Set("up/e2", "llm ready m software:v2")
+				if tt.after == "" {
+					s.Delete("up/e2")
+				}
+				if tt.before != nil {
+					s.Do(func() { tt.before(s) })
+				}
+				time.Sleep(10 * time.Millisecond)
+				if got := takeUp(t, tk, "b"); got != sched.ReasonVersionUnknown {
+					t.Errorf("take-up of a stream that may be of either version: %q", got)
+				}
+			})
+		})
+	}
+}
+
+// listeningTickets returns the ticket service of a host that follows the store, which leads or has no leader.
+func listeningTickets(ctx context.Context, s *stub.Store, leads bool) *ticketService {
+	sc := testHost(s, topo.Host{Name: "h1", Ready: true})
+	tk := streamTickets(s)
+	tk.streams.refresh, tk.streams.knownEra = sc.refresh, sc.era
+	if leads {
+		tk.elector, tk.streams.elector = sc.elector, sc.elector
+	}
+	sc.onChange = func() {
+		tk.withScheduler(func(now time.Time, k *sched.Scheduler) {
+			k.SetUpstreams(now, sc.Upstreams(""))
+			for _, v := range sc.takeRetired() {
+				k.Streams.SetInService(now, v.service, v.software)
+			}
+		})
+	}
+	go sc.elector.Run(ctx)
+	go tk.streams.run(ctx)
+	for _, prefix := range sc.prefixes() {
+		go sc.run(ctx, prefix, func() bool { return true })
+	}
+	return tk
+}
+
 // lateStore executes its next transaction late, and gives no response to it.
 type lateStore struct {
 	store.Store
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -90,6 +91,26 @@
 	return out
 }
 
+// retire takes an upstream out of use, if there is one under the key.
+func (sc *storeCache) retire(key string) {
+	u := sc.upstreams[key]
+	if u == nil {
+		return
+	}
+	delete(sc.upstreams, key)
+	sc.retired[serviceVersion{u.Service, u.Software}] = true
+}
+
+// takeRetired returns the software versions of which upstreams were removed or replaced since the last call. One that
+// came and went between two deliveries was in service too.
+func (sc *storeCache) takeRetired() []serviceVersion {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	out := slices.Collect(maps.Keys(sc.retired))
+	clear(sc.retired)
+	return out
+}
+
 // departed reports whether an upstream is known to be leaving or removed. One that this host has not heard of is not.
 func (sc *storeCache) departed(id string) bool {
 	sc.mu.Lock()
--- a/internal/vers/table.go
+++ b/internal/vers/table.go
@@ -28,7 +28,6 @@
 		// Records are kept in two generations, so that the older half can be dropped at once.
 		recent, old map[uint64]entry
 		rotatedAt   time.Time
-		since       time.Time // when the versions in service were first known
 		listed      map[version]bool
 		lastSeen    map[version]time.Time // when a version was last known to be in service
 	}
@@ -131,9 +130,6 @@
 
 // SetListed records the upstreams in service.
 func (t *Table) SetListed(now time.Time, list []*topo.Upstream) {
-	if t.since.IsZero() {
-		t.since = now
-	}
 	// The versions of the previous list were in service until now.
 	for v := range t.listed {
 		t.setInService(now, v)
@@ -187,10 +183,5 @@
 	return out
 }
 
-// Complete reports whether this host has known the versions in service for as long as a stream can last.
-func (t *Table) Complete(now time.Time) bool {
-	return !t.since.IsZero() && now.Sub(t.since) >= t.Retention()
-}
-
 // Retention returns how long records are kept at least.
 func (t *Table) Retention() time.Duration { return max(t.Life, minRetention) }
--- a/internal/vers/table_test.go
+++ b/internal/vers/table_test.go
@@ -24,41 +24,40 @@
 // for ever, because all take-ups of unknown streams would be rejected.
 func TestVersions(t *testing.T) {
 	type step struct {
-		at       time.Duration
-		list     []string
-		changes  bool // the list has changed
-		want     []string
-		complete bool
+		at      time.Duration
+		list    []string
+		changes bool // the list has changed
+		want    []string
 	}
 	for _, tt := range []struct {
 		name  string
 		steps []step
 	}{
 		{"one version", []step{
-			{0, []string{"v1"}, true, []string{"v1"}, false},
-			{life, nil, false, []string{"v1"}, true},
-			{10 * life, nil, false, []string{"v1"}, true},
+			{0, []string{"v1"}, true, []string{"v1"}},
+			{life, nil, false, []string{"v1"}},
+			{10 * life, nil, false, []string{"v1"}},
 		}},
 		{"a second version", []step{
-			{0, []string{"v1"}, true, []string{"v1"}, false},
-			{time.Second, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
+			{0, []string{"v1"}, true, []string{"v1"}},
+			{time.Second, []string{"v1", "v2"}, true, []string{"v1", "v2"}},
 		}},
 		{"the first version leaves", []step{
-			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
-			{time.Second, []string{"v2"}, true, []string{"v1", "v2"}, false},
-			{life, nil, false, []string{"v1", "v2"}, true},
-			{time.Second + life + 1, nil, false, []string{"v2"}, true},
+			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}},
+			{time.Second, []string{"v2"}, true, []string{"v1", "v2"}},
+			{life, nil, false, []string{"v1", "v2"}},
+			{time.Second + life + 1, nil, false, []string{"v2"}},
 		}},
 		{"the first version leaves after a long time without changes", []step{
-			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}, false},
-			{10 * life, []string{"v2"}, true, []string{"v1", "v2"}, true},
-			{11 * life, nil, false, []string{"v1", "v2"}, true},
-			{11*life + 1, []string{"v2"}, true, []string{"v2"}, true},
+			{0, []string{"v1", "v2"}, true, []string{"v1", "v2"}},
+			{10 * life, []string{"v2"}, true, []string{"v1", "v2"}},
+			{11 * life, nil, false, []string{"v1", "v2"}},
+			{11*life + 1, []string{"v2"}, true, []string{"v2"}},
 		}},
 		{"no upstream for a while", []step{
-			{0, []string{"v1"}, true, []string{"v1"}, false},
-			{time.Second, nil, true, []string{"v1"}, false},
-			{2 * time.Second, []string{"v2"}, true, []string{"v1", "v2"}, false},
+			{0, []string{"v1"}, true, []string{"v1"}},
+			{time.Second, nil, true, []string{"v1"}},
+			{2 * time.Second, []string{"v2"}, true, []string{"v1", "v2"}},
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -75,9 +74,6 @@
 				if mixed := tb.Mixed(now); (mixed["llm"] != nil) != (len(s.want) > 1) {
 					t.Errorf("at %v: mixed %q", s.at, mixed)
 				}
-				if got := tb.Complete(now); got != s.complete {
-					t.Errorf("at %v: complete %v", s.at, got)
-				}
 			}
 		})
 	}
