Ask the store before the leader calls a stream unknown

What callers saw: a stream that had begun at a host which does not reach the leader was rejected with version_unknown wherever the leader was asked, although its record was in the store.

A leader that had read the store once answered for it, and took its own memory for all that is known. Hosts that it does not hear save their records in the store.

Evidence: TestLeaderLooksStreamsUp failed before ('take-up of a stream that only its host and the store know: "version_unknown", want v2'; 21 reads of the store in a second, 11 of them by each follower, 11 are allowed). It replaces TestLeaderKnowsOfStreams, whose row "several versions" required this answer without a read: what it guarded, the calls to the store, is now bounded for a whole fleet, and followers may make none.

Change: for a take-up that its scheduler does not know the leader reads the store, once for all calls that wait, tells the follower to wait, and then decides. Only if the store has answered is the decision final. Why it works: every record is with the leader or in the store, and both are asked.

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"time"
 
 	"github.com/figreel/figreel/internal/link"
@@ -94,7 +95,19 @@
 		f.conn.Close()
 		return
 	}
-	decision := s.schedule(time.Now(), req)
+	if f.ended {
+		s.mu.Unlock()
+		return
+	}
+	decision := s.scheduler.Schedule(time.Now(), req)
+	if s.needsLookup(&decision) {
+		s.mu.Unlock()
+		s.send(f.conn, &link.Message{
+			Kind: link.Reply, Call: req.Call, Decision: &sched.Decision{Call: req.Call, Kind: sched.Waiting},
+		})
+		go s.lookUpFor(f, req, decision)
+		return
+	}
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
 	case sched.Granted:
@@ -111,6 +124,20 @@
 	}
 }
 
+// lookUpFor answers a follower's take-up of a stream that this host does not know, once it has asked the store. If the
+// store does not know the stream either, the follower need not ask it.
+func (s *ticketService) lookUpFor(f *follower, req sched.Request, unknown sched.Decision) {
+	ctx, cancel := context.WithTimeout(context.Background(), req.Remaining)
+	defer cancel()
+	software, err := s.findSoftware(ctx, &req)
+	if software == "" {
+		unknown.Final = err == nil
+		s.reply(f, unknown)
+		return
+	}
+	s.requestFor(f, req)
+}
+
 func (s *ticketService) reply(f *follower, decision sched.Decision) {
 	s.mu.Lock()
 	delete(f.waiting, decision.Call)
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -302,7 +302,13 @@
 
 // init sets up the calls that several takers-up of streams share. It is called before any other method.
 func (s *streamStore) init() {
-	interval := func() time.Duration { return max(lookupInterval, s.hostInterval()) }
+	// A leader reads for all hosts that it listens to.
+	interval := func() time.Duration {
+		if s.elector.IsLeader() {
+			return lookupInterval
+		}
+		return max(lookupInterval, s.hostInterval())
+	}
 	s.reads.Run, s.reads.Interval = s.read, interval
 	s.refreshes.Interval = interval
 	s.refreshes.Run = func() (struct{}, error) {
@@ -346,20 +352,6 @@
 	return r, nil
 }
 
-// schedule asks the local scheduler for a decision. A rejected take-up of a stream that nobody knows is final if this
-// host leads and knows what the store has. If one version is in service, the store is asked all the same, because
-// another one may have been listed since this host's copy was confirmed. s.mu is held.
-func (s *ticketService) schedule(now time.Time, req sched.Request) sched.Decision {
-	decision := s.scheduler.Schedule(now, req)
-	if decision.Reason != sched.ReasonVersionUnknown || s.streams == nil {
-		return decision
-	}
-	loaded, saved := s.streams.state()
-	several := len(s.scheduler.Streams.Versions(now, req.Service)) > 1 || len(saved[req.Service]) > 0
-	decision.Final = loaded && several
-	return decision
-}
-
 // softwareOf returns the software version that began the stream of an attempt, or an empty string if this host does not
 // know it.
 func (s *ticketService) softwareOf(id string) string {
@@ -369,31 +361,44 @@
 	return software
 }
 
-// findSoftware returns the software version that began the stream of a call, which neither this host nor the leader
-// remembers. If the store knows of only one version in service, and lists no other one now, it is that one. A host that
-// cannot read the store does not know that, however new its list is.
-func (s *ticketService) findSoftware(ctx context.Context, req *sched.Request) (string, bool) {
-	if s.streams == nil {
-		return "", false
-	}
-	r, err := s.streams.reads.Do(ctx)
-	if software := s.softwareOf(req.Resumes); software != "" {
-		return software, true
+// needsLookup reports whether a call was rejected for a stream that the scheduler does not know, while the store may
+// know it: hosts save records themselves while no leader listens to them.
+func (s *ticketService) needsLookup(d *sched.Decision) bool {
+	return s.streams != nil && d.Reason == sched.ReasonVersionUnknown && !d.Final
+}
+
+// findSoftware finds the software version that began the stream of a call that the scheduler does not know, and sets it
+// in the call, whose remaining time it reduces by its own. It returns an empty string if nobody knows the version. If
+// the store knows of only one version in service, and lists no other one now, it is that one. A host that cannot read
+// the store does not know that, however new its list is; it gets an error.
+func (s *ticketService) findSoftware(ctx context.Context, req *sched.Request) (string, error) {
+	start := time.Now()
+	software, err := s.streams.find(ctx, req)
+	s.log.Info().Err(err).Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).
+		Bool("found", software != "").Dur("took_ms", time.Since(start)).Msg("software version of a stream looked up")
+	req.Software = software
+	req.Remaining -= time.Since(start)
+	return software, err
+}
+
+// find is findSoftware without the changes of the call.
+func (s *streamStore) find(ctx context.Context, req *sched.Request) (string, error) {
+	r, err := s.reads.Do(ctx)
+	if software := s.tickets.softwareOf(req.Resumes); software != "" {
+		return software, nil
 	}
-	if err == nil && len(r.mixed[req.Service]) == 0 {
-		_, err = s.streams.refreshes.Do(ctx)
+	if err != nil || len(r.mixed[req.Service]) > 0 {
+		return "", err
 	}
-	if err != nil {
-		s.log.Info().Err(err).Str("call", req.Call).Msg("records of streams cannot be read")
-		return "", false
+	if _, err := s.refreshes.Do(ctx); err != nil {
+		return "", err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	versions := s.scheduler.Streams.Versions(time.Now(), req.Service)
-	if len(versions) != 1 || len(r.mixed[req.Service]) > 0 {
-		return "", false
+	s.tickets.mu.Lock()
+	defer s.tickets.mu.Unlock()
+	if versions := s.tickets.scheduler.Streams.Versions(time.Now(), req.Service); len(versions) == 1 {
+		return versions[0], nil
 	}
-	return versions[0], true
+	return "", nil
 }
 
 // noteMixed sets in a grant whether the service has several versions, so that the start of the engine has to be
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -213,37 +215,46 @@
 	}
 }
 
-// Guards against a host that asks the store for streams of which its leader knows that nobody knows them, and against a
-// leader that answers so before it knows what the store has. A leader never answers from its list alone that a stream
-// is of the only version, see TestTakeUpBesideNewVersion.
-func TestLeaderKnowsOfStreams(t *testing.T) {
-	for _, tt := range []struct {
-		name   string
-		listed string
-		before func(leader *ticketService)
-		want   string
-		asks   bool // the store
-	}{
-		{"several versions", "v1 v2", func(*ticketService) {}, sched.ReasonVersionUnknown, false},
-		{"one version", "v2", func(*ticketService) {}, "v2", true},
-		{"one version, list cannot be refreshed", "v2", func(leader *ticketService) {
-			leader.streams.refresh = func(context.Context) error { return store.ErrCompacted }
-		}, sched.ReasonVersionUnknown, true},
-		{"several versions, store not read yet", "v1 v2", func(leader *ticketService) {
-			leader.streams.setLoaded(false, nil)
-		}, sched.ReasonVersionUnknown, true},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
+// Guards against a leader that answers for the store without asking it, while hosts that it does not hear save records
+// there, and against followers that ask the store although their leader does, or a leader that asks for each call.
+func TestLeaderLooksStreamsUp(t *testing.T) {
+	const callers = 40
+	for _, versions := range []string{"v1 v2", "v2"} {
+		t.Run(versions, func(t *testing.T) {
 			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
-				list(leader, strings.Fields(tt.listed)...)
+				list(leader, strings.Fields(versions)...)
+				followers := []*ticketService{streamTickets(s, "v1", "v2"), streamTickets(s, "v1", "v2")}
+				for _, f := range followers {
+					follow(t, f, leader)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				unheard := streamTickets(s, "v1", "v2")
+				go unheard.streams.run(ctx)
+				begin(unheard, unheard, "a", "v2")
 				time.Sleep(time.Second)
-				tt.before(leader)
+				if got := takeUp(t, followers[0], "a"); got != "v2" {
+					t.Errorf("take-up of a stream that only its host and the store know: %q, want v2", got)
+				}
+				want := map[string]string{"v1 v2": sched.ReasonVersionUnknown, "v2": "v2"}[versions]
 				reads := s.Calls("list")
-				if got := takeUp(t, leader, "other"); got != tt.want {
-					t.Errorf("take-up of an unknown stream: %q, want %q", got, tt.want)
+				var wg sync.WaitGroup
+				for i := range callers {
+					time.Sleep(time.Second / callers)
+					wg.Go(func() {
+						if got := takeUp(t, followers[i%2], fmt.Sprint("unknown ", i)); got != want {
+							t.Errorf("take-up of an unknown stream: %q, want %q", got, want)
+						}
+					})
 				}
-				if asked := s.Calls("list") > reads; asked != tt.asks {
-					t.Errorf("the store was read: %v, want %v", asked, tt.asks)
+				wg.Wait()
+				if n, most := s.Calls("list")-reads, int(time.Second/lookupInterval)+1; n > most {
+					t.Errorf("%d reads of the store in a second, at most %d are allowed", n, most)
+				}
+				for _, f := range followers {
+					if n := f.stats.Events.Get("stream_lookups"); n != nil {
+						t.Errorf("%v reads by a follower", n)
+					}
 				}
 			})
 		})
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -32,6 +32,9 @@
 	// detailsStall is the same before this host fetches what it needs to schedule for longer, which costs its sources
 	// much.
 	detailsStall = 500 * time.Millisecond
+	// maxReplies is the number of replies to one ticket request: that the leader looks the stream up, that the call has
+	// to wait, and the decision.
+	maxReplies = 3
 	// stepInterval is the interval between scheduler steps while calls wait.
 	stepInterval = 4 * time.Millisecond
 	// redialDelay is the delay between two connection attempts to the leader, and the interval of checks whether the
@@ -104,22 +107,18 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the
 // scheduler does not know the software version that began the stream of the call, it is looked up in the store.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
-	start := time.Now()
 	if req.TakesUp && req.Software == "" {
 		req.Software = s.softwareOf(req.Resumes)
 	}
+	start := time.Now()
 	decision, err := s.requestTicket(ctx, req)
-	if err != nil || decision.Reason != sched.ReasonVersionUnknown || decision.Final {
+	if err != nil || !s.needsLookup(&decision) {
 		return s.noteMixed(&req, decision), err
 	}
-	software, ok := s.findSoftware(ctx, &req)
-	s.log.Info().Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).Bool("found", ok).
-		Dur("took_ms", time.Since(start)).Msg("software version of a stream looked up")
-	if !ok {
+	req.Remaining -= time.Since(start)
+	if software, _ := s.findSoftware(ctx, &req); software == "" {
 		return decision, nil
 	}
-	req.Software = software
-	req.Remaining -= time.Since(start)
 	decision, err = s.requestTicket(ctx, req)
 	return s.noteMixed(&req, decision), err
 }
@@ -310,7 +309,7 @@
 	reply := make(chan sched.Decision, 1)
 	s.mu.Lock()
 	s.updateLimitShare()
-	decision := s.schedule(time.Now(), req)
+	decision := s.scheduler.Schedule(time.Now(), req)
 	loads := s.scheduler.AdapterLoads()
 	switch decision.Kind {
 	case sched.Waiting:
@@ -363,7 +362,7 @@
 func (s *ticketService) requestRemote(ctx context.Context, leader *link.Conn, req sched.Request) (
 	sched.Decision, bool, error,
 ) {
-	reply := make(chan sched.Decision, 2)
+	reply := make(chan sched.Decision, maxReplies)
 	s.mu.Lock()
 	s.remoteReplies[req.Call] = reply
 	s.mu.Unlock()
