Take calls back that wait at a leader which does not listen

What callers would see: a call that the leader had told to wait was not decided while the leader was suspended, until its lease ended and the connection was closed, or the caller left, although an engine was free.

After the reply that a call waits, its host went by the open connection.

Evidence: TestCallWaitsAtSuspendedLeader failed before (no decision within 10 s).

Change: a waiting call checks every 100 ms whether the leader has acknowledged something in the last 500 ms, if there was anything to acknowledge, and is decided by its own host otherwise. The threshold is longer than that for new calls, because the call loses its place in the order of all hosts. Why it works: the same acknowledgements tell all users of the connection. A host that sends nothing else to the leader meanwhile learns of the silence with its next message only.

--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -23,15 +23,17 @@
 const (
 	// replyTimeout is how long the leader may take to acknowledge a ticket request.
 	replyTimeout = 80 * time.Millisecond
+	// waitCheckInterval is the interval at which a call that waits for the leader checks whether that still listens.
+	waitCheckInterval = 100 * time.Millisecond
 	// avoidPeriod is how long ticket requests go to the local scheduler after the leader did not reply.
 	avoidPeriod = 400 * time.Millisecond
 	// ackDelay is how long the leader may wait with the acknowledgement of a message, for one that it sends anyway.
 	ackDelay = 100 * time.Millisecond
 	// maxStall is how long the leader may acknowledge nothing before this host does without it.
 	maxStall = ackDelay + replyTimeout
-	// detailsStall is the same before this host fetches what it needs to schedule for longer, which costs its sources
-	// much.
-	detailsStall = 500 * time.Millisecond
+	// longStall is the same before this host does what is costly if the leader goes on after all: it fetches what it
+	// needs to schedule for longer, and takes calls back that wait in the order of all hosts.
+	longStall = 500 * time.Millisecond
 	// maxReplies is the number of replies to one ticket request: that the leader looks the stream up, that the call has
 	// to wait, and the decision.
 	maxReplies = 3
@@ -279,7 +281,7 @@
 func (s *ticketService) schedulesAlone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaderConn == nil || s.leaderConn.Stalled() > detailsStall
+	return s.leaderConn == nil || s.leaderConn.Stalled() > longStall
 }
 
 // leaderConnFor returns the connection to the leader for a ticket request, or nil if the local scheduler decides.
@@ -380,6 +382,7 @@
 	}
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
+	waits := false // the leader has replied that the call waits there
 	for {
 		select {
 		case decision, open := <-reply:
@@ -387,7 +390,8 @@
 				return sched.Decision{}, false, nil
 			}
 			if decision.Kind == sched.Waiting {
-				timer.Stop()
+				waits = true
+				timer.Reset(waitCheckInterval)
 				continue
 			}
 			returned = true
@@ -398,8 +402,8 @@
 			s.restore(req, decision)
 			return decision, true, nil
 		case <-timer.C:
-			if s.waitsForLeader(&req) {
-				timer.Reset(replyTimeout)
+			if waits && leader.Stalled() <= longStall || s.waitsForLeader(&req) {
+				timer.Reset(waitCheckInterval)
 				continue
 			}
 			s.mu.Lock()
--- a/internal/host/tickets_test.go
+++ b/internal/host/tickets_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -121,6 +122,41 @@
 	}
 }
 
+// Guards against calls that wait for a decision of a suspended leader until its lease ends, although an engine is free.
+func TestCallWaitsAtSuspendedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := streamTickets(&stub.Store{}, "v1")
+		machine := &fleetHost{}
+		ours, theirs := net.Pipe()
+		c, leader := link.NewConn(ours), link.NewConn(&fleetConn{theirs, machine, &fleetHost{}})
+		host.leaderConn = c
+		defer c.Close()
+		go func() {
+			leader.Acknowledge(ackDelay, func(error) {})
+			for m, err := leader.Receive(); err == nil; m, err = leader.Receive() {
+				if m.Kind == link.TicketRequest {
+					waiting := &sched.Decision{Kind: sched.Waiting, Call: m.Call}
+					_ = leader.Send(&link.Message{Kind: link.Reply, Call: m.Call, Decision: waiting})
+					machine.silent.Store(true)
+				}
+			}
+		}()
+		go func() { _ = host.readReplies(c) }()
+		go host.run(t.Context())
+		time.AfterFunc(time.Second, func() { begin(host, host, "a", "v1") })
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		decision, err := host.RequestTicket(ctx, sched.Request{
+			Call: "c", Service: "llm", Remaining: 20 * time.Second, TargetLatency: 10 * time.Second,
+			Spec: topo.CallSpec{Model: "m", PromptTokens: 10},
+		})
+		if took := time.Since(start); err != nil || decision.Kind != sched.Granted || took > 2*time.Second {
+			t.Errorf("%+v, %v after %v, want a grant within a second of the silence", decision, err, took)
+		}
+	})
+}
+
 // Guards against a leader that counts a call at an engine for good, because the grant arrived as its caller left.
 func TestGrantAsCallEnds(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
