Let hosts without a leader save as often as the store allows

What callers would see: in a fleet of the design size, streams that begin while the leader is silent cannot be taken up at other hosts, because their records reach the store after the next leader has taken over.

Cause: a host without a leader waited 10 ms for each host of the fleet between two saves, 3.7 s at 370 hosts; the lease is 3 s.

Evidence: TestSavesOfFleet failed before for 370 hosts ("records are saved every 3.333333333s"), and held for 6 and 82.

Change: the pause follows from the platform's setting writes_per_s, of which hosts without a leader use a quarter. Without the setting the pause stays as it was. Reads of records stay at 100 a second for all hosts, because each returns all records.

Result: a save every 0.46 s at 370 hosts and 3,200 writes a second, 0.27 s at 82 hosts and 1,200, 0.25 s at 6 hosts, as before.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,7 +123,7 @@
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
 		refresh: h.cache.refresh, knownEra: h.cache.era,
-		hosts: h.cache.hostCount,
+		hosts: h.cache.hostCount, writesPerS: s.StoreWrites,
 	}
 	h.streams.init()
 	h.tickets.streams = h.streams
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -40,6 +40,8 @@
 	// saveTimeout and lookupTimeout are the timeouts of one call to the store.
 	saveTimeout   = 900 * time.Millisecond
 	lookupTimeout = 300 * time.Millisecond
+	// saveShare is the share of the writes that the store allows which hosts without a leader may use for records.
+	saveShare = 0.25
 	// lookupInterval is the minimum time between two reads of the records by one host. intervalPerHost is the minimum
 	// time between two calls of one host without a leader, for each host of the fleet.
 	lookupInterval  = 100 * time.Millisecond
@@ -64,6 +66,8 @@
 		knownEra func() int64
 		// hosts returns the number of registered hosts.
 		hosts func() int
+		// writesPerS is how many writes a second the store allows all hosts together; 0 if that is not known.
+		writesPerS float64
 
 		// The fields up to the next mutex are those of the goroutine of run.
 		process  string // identifies this process in keys
@@ -105,7 +109,7 @@
 			if s.tickets.listeningLeader() != nil {
 				continue
 			}
-			save, interval = s.saveOwn, max(saveInterval, s.hostInterval())
+			save, interval = s.saveOwn, max(saveInterval, s.ownInterval())
 		}
 		err := save(ctx)
 		if errors.Is(err, store.ErrRestored) {
@@ -213,6 +217,15 @@
 // hostInterval returns the minimum time between two calls of one host, so that those of a large fleet are not too many.
 func (s *streamStore) hostInterval() time.Duration { return time.Duration(s.hosts()) * intervalPerHost }
 
+// ownInterval returns the minimum time between two saves of a host without a leader. Together the hosts stay within
+// their share of the store's limit, and all save well within the time after which a silent leader is replaced.
+func (s *streamStore) ownInterval() time.Duration {
+	if s.writesPerS == 0 {
+		return s.hostInterval()
+	}
+	return time.Duration(float64(s.hosts()) / (saveShare * s.writesPerS) * float64(time.Second))
+}
+
 // key returns the key of the next records of this host. No other process uses it, also not a later one of the same
 // host.
 func (s *streamStore) key() string {
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -406,6 +406,39 @@
 	})
 }
 
+// Guards against records of a large fleet that are saved only after the lease of a silent leader has ended, when they
+// are of no use any more, and against saves of all hosts that take more of what the store allows than their share.
+func TestSavesOfFleet(t *testing.T) {
+	const run = 30 * time.Second
+	for _, tt := range []struct {
+		hosts  int
+		writes float64
+	}{{6, 400}, {82, 1200}, {370, 3200}} {
+		t.Run(fmt.Sprint(tt.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := &stub.Store{}
+				tk := streamTickets(s, "v1", "v2")
+				tk.streams.hosts = func() int { return tt.hosts }
+				tk.streams.writesPerS = tt.writes
+				go tk.streams.run(ctx)
+				for i := range run / (20 * time.Millisecond) {
+					begin(tk, tk, fmt.Sprint(i), "v1")
+					time.Sleep(20 * time.Millisecond)
+				}
+				saves := float64(s.Calls("commit"))
+				if all := saves * float64(tt.hosts) / run.Seconds(); all > saveShare*tt.writes*1.05 {
+					t.Errorf("%.0f writes a second of all hosts, the store allows %.0f", all, tt.writes)
+				}
+				if delay := time.Duration(float64(run) / saves); delay > time.Second {
+					t.Errorf("records are saved every %v", delay)
+				}
+			})
+		})
+	}
+}
+
 // follow connects a host to a leader. The returned function suspends the leader, as far as the host can tell.
 func follow(t *testing.T, host, leader *ticketService) (suspend func()) {
 	t.Helper()
--- a/internal/host/types.go
+++ b/internal/host/types.go
@@ -23,6 +23,7 @@
 		Seeds         []string // addresses of some other hosts, used before any host is known
 		HasRun        bool     // the system has run before this host started
 		StoreAddr     string
+		StoreWrites   float64       // writes a second that the store allows all hosts together; 0 if it is unknown
 		MetricsAddr   string        // address of the metrics endpoint
 		Grace         time.Duration // from the stop signal until the process is killed
 		DrainTime     time.Duration // from the departure of an upstream until it must get no more calls
