Skip the refresh of upstreams where several versions are known already

Cause: a take-up of a stream that nobody knows asked the store for the changes of upstreams also where the host's own list named two versions, so that no answer could make it one.

Change and result: the list is looked at before the call as well as after it; such a take-up costs one call instead of two. The tests of take-ups pass as before.

--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -400,18 +400,24 @@
 	if software := s.tickets.softwareOf(req.Resumes); software != "" {
 		return software, nil
 	}
-	if err != nil || len(r.mixed[req.Service]) > 0 {
+	if err != nil || len(r.mixed[req.Service]) > 0 || s.onlyVersion(req.Service) == "" {
 		return "", err
 	}
 	if _, err := s.refreshes.Do(ctx); err != nil {
 		return "", err
 	}
+	return s.onlyVersion(req.Service), nil
+}
+
+// onlyVersion returns the software version of a service that this host knows, or an empty string if there is not just
+// one.
+func (s *streamStore) onlyVersion(service string) string {
 	s.tickets.mu.Lock()
 	defer s.tickets.mu.Unlock()
-	if versions := s.tickets.scheduler.Streams.Versions(time.Now(), req.Service); len(versions) == 1 {
-		return versions[0], nil
+	if versions := s.tickets.scheduler.Streams.Versions(time.Now(), service); len(versions) == 1 {
+		return versions[0]
 	}
-	return "", nil
+	return ""
 }
 
 // noteMixed sets in a grant whether the service has several versions, so that the start of the engine has to be
