Let a follower keep the records of streams that begin at the leader

Cause: each record is with the host that began the stream and with the leader; at the leader these are one host, and while a service has one version nothing is in the store.

Evidence: TestStreamsOfLostLeader failed before in both rows ('take-up: "version_unknown", want v1').

Change: the leader tells one follower, its keeper, of the streams that begin at itself; the keeper answers for them as for its own. Another follower is appointed when the keeper's connection ends. Why it works: every record is with two hosts, so the loss of one leaves it.

--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -34,6 +34,7 @@
 	s.scheduler.LearnSpeeds(time.Now(), hello.Speeds)
 	s.mu.Unlock()
 	s.wakeQuota()
+	s.ensureKeeper()
 	c.Acknowledge(ackDelay, func(err error) {
 		s.log.Warn().Err(err).Str("follower", hello.Host).Msg("messages of host cannot be acknowledged")
 	})
@@ -50,6 +51,7 @@
 		s.quota.Leave(hello.Host)
 	}
 	s.mu.Unlock()
+	s.ensureKeeper()
 	time.AfterFunc(rejoinPeriod, func() { s.releaseFollower(hello.Host, f) })
 }
 
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -493,6 +493,46 @@
 	})
 }
 
+// Guards against streams that cannot be taken up because they began at a leader that is lost before a release, so that
+// their records were neither at another host nor in the store.
+func TestStreamsOfLostLeader(t *testing.T) {
+	for _, first := range []string{"stays", "leaves"} {
+		t.Run("the first follower "+first, func(t *testing.T) {
+			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+				list(leader, "v1")
+				var hosts []*ticketService
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				for i := range 3 {
+					h := streamTickets(s, "v1")
+					h.self = fmt.Sprint("host-", i)
+					follow(t, h, leader)
+					go h.streams.run(ctx)
+					hosts = append(hosts, h)
+				}
+				begin(leader, leader, "a", "v1")
+				time.Sleep(time.Second)
+				if first == "leaves" {
+					hosts[0].leaderConn.Close()
+					hosts = hosts[1:]
+					time.Sleep(time.Second)
+				}
+				for _, h := range hosts {
+					h.leaderConn.Close()
+					h.mu.Lock()
+					h.leaderConn = nil
+					h.mu.Unlock()
+					list(h, "v1", "v2")
+				}
+				time.Sleep(time.Second)
+				if got := takeUp(t, hosts[len(hosts)-1], "a"); got != "v1" {
+					t.Errorf("take-up: %q, want v1", got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a new leader that does not know the streams that began at the hosts that follow it, nor the speeds
 // that the leader before it granted them with.
 func TestFollowerTellsItsStreams(t *testing.T) {
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -76,6 +76,7 @@
 	leaderConn    *link.Conn                      // nil on the leader and without a connection
 	avoidUntil    time.Time                       // until then the leader gets no ticket requests
 	followers     map[string]*follower
+	keeper        *follower // keeps the records of streams that begin at this host, or nil
 	wakeCh        chan struct{}
 	quotaDue      map[string]bool // followers that have reported charges
 	quotaCh       chan struct{}   // wakes runQuota
@@ -166,6 +167,9 @@
 	s.scheduler.SetLoad(time.Now(), g.Ticket, load)
 	s.scheduler.FirstEvent(time.Now(), g.Ticket)
 	leader := s.leaderConn
+	if leader == nil && s.keeper != nil && len(m.Streams) > 0 {
+		leader, m = s.keeper.conn, &link.Message{Kind: link.Keep, Streams: m.Streams}
+	}
 	s.mu.Unlock()
 	s.send(leader, m)
 }
@@ -543,6 +547,10 @@
 			s.receiveQuota(nil, m.Quota)
 			continue
 		}
+		if m.Kind == link.Keep {
+			s.keep(m.Streams)
+			continue
+		}
 		if m.Kind != link.Reply || m.Decision == nil {
 			continue
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -62,6 +62,8 @@
 	Quota
 	// Ack only acknowledges messages.
 	Ack
+	// Keep asks a follower to keep the records of streams that began at the leader as if they had begun there.
+	Keep
 )
 
 type (
@@ -97,8 +99,8 @@
 		Notices *notice.State `cbor:"18,keyasint,omitempty"`
 		// Token is the fencing token of the sender of StepDown.
 		Token int64 `cbor:"19,keyasint,omitempty"`
-		// Streams says which software versions began streams at the sender: with Hello all that it knows, and with
-		// FirstEvent the one that the event began.
+		// Streams says which software versions began streams at the sender: with Hello all that it knows, with
+		// FirstEvent the one that the event began, and with Keep either.
 		Streams []vers.Record `cbor:"20,keyasint,omitempty"`
 		// Config is the state of the sender's copy of the configuration, with Changes, or nil.
 		Config *fresh.State `cbor:"21,keyasint,omitempty"`
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -10,7 +10,7 @@
 	Hello: "hello", TicketRequest: "ticket_request", Cancel: "cancel", Reply: "reply", FirstEvent: "first_event",
 	Release: "release", StepDown: "step_down", SteppedDown: "stepped_down", GetChanges: "get_changes",
 	Changes: "changes", Notices: "notices", RequestPromise: "request_promise", Promised: "promised",
-	Refused: "refused", Quota: "quota", Ack: "ack",
+	Refused: "refused", Quota: "quota", Ack: "ack", Keep: "keep",
 }
 
 type (
--- a/internal/vers/table.go
+++ b/internal/vers/table.go
@@ -36,7 +36,7 @@
 
 	entry struct {
 		software string
-		own      bool // the stream began at this host
+		own      bool // this host answers for the record
 		saved    bool
 	}
 )
@@ -44,7 +44,7 @@
 // Stream returns what identifies the stream that an attempt began, from the ID of that attempt.
 func Stream(id string) uint64 { return xxhash.Sum64String(id) }
 
-// Begin records that a stream began at this host.
+// Begin records that a stream began at this host, or at a leader for which this host keeps the record.
 func (t *Table) Begin(now time.Time, r Record) { t.put(now, r, entry{own: true}) }
 
 // Learn records what another host knows of a stream.
@@ -90,10 +90,10 @@
 	return e.software, ok
 }
 
-// Own returns the records of the streams that began at this host.
+// Own returns the records that Begin has added.
 func (t *Table) Own() []Record { return t.records(func(e entry) bool { return e.own }) }
 
-// UnsavedOwn returns the records of the streams that began at this host and are not in the store.
+// UnsavedOwn returns the records that Begin has added and that are not in the store.
 func (t *Table) UnsavedOwn() []Record {
 	return t.records(func(e entry) bool { return e.own && !e.saved })
 }
