Check the start of engines while the list of upstreams is old

Cause: the status report that names the start of an engine was asked for only where the host knew of several versions. That was not so as long as the first change of version could not be known.

Change: the report is also asked for while the host's list is older than it may be for use. Grant.Mixed became CheckStart. Why it works: an engine that starts again writes its entry at once unless the store is away, and then no host's list stays current.

Cost: one status report for each connection to an engine that carries a stream during an outage; nothing at the store or the leader.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -123,7 +123,7 @@
 	e := f.engines[f.granted]
 	f.granted++
 	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{
-		Engine: cmp.Or(e.id, "e"), Addr: e.addr, Software: e.software, Mixed: e.mixed,
+		Engine: cmp.Or(e.id, "e"), Addr: e.addr, Software: e.software, CheckStart: e.mixed,
 	}}, nil
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -113,7 +113,7 @@
 	c.firstEventSent = false
 	sent := time.Now()
 	r := c.upstreamRequest(g.Addr, g.Engine)
-	if g.Mixed && c.s.StartCheck != nil {
+	if g.CheckStart && c.s.StartCheck != nil {
 		r.Check = c.s.StartCheck(topo.Instance{ID: g.Engine, Boot: g.Boot})
 	}
 	res, err := c.s.Pool.Do(c.ctx, r)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -118,7 +118,7 @@
 	h.tickets = newTicketService(s.Name, h.elector, notices, h.Stats, h.Log)
 	h.tickets.publishSpeeds()
 	h.tickets.senders = h.cache.senderCount
-	h.tickets.departed = h.cache.departed
+	h.tickets.departed, h.tickets.isCurrent = h.cache.departed, h.cache.isCurrent
 	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -420,13 +420,14 @@
 	return ""
 }
 
-// noteMixed sets in a grant whether the service has several versions, so that the start of the engine has to be
-// checked.
-func (s *ticketService) noteMixed(req *sched.Request, decision sched.Decision) sched.Decision {
+// noteStartCheck sets in a grant whether the start of the engine has to be checked before a stream begins or goes on
+// there.
+func (s *ticketService) noteStartCheck(req *sched.Request, decision sched.Decision) sched.Decision {
+	current := s.isCurrent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	versions := s.scheduler.Streams.Versions(time.Now(), req.Service)
-	decision.Grant.Mixed = req.Resumable && len(versions) > 1
+	decision.Grant.CheckStart = req.Resumable && (len(versions) > 1 || !current)
 	return decision
 }
 
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -406,6 +406,35 @@
 	})
 }
 
+// Guards against streams that go on at an engine which has started again under its id with another software version,
+// because the host's list of upstreams is too old to say so and names one version.
+func TestStartCheckWithOldList(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		versions  string
+		current   bool
+		resumable bool
+		want      bool
+	}{
+		{"one version", "v1", true, true, false},
+		{"one version, old list", "v1", false, true, true},
+		{"one version, old list, no stream", "v1", false, false, false},
+		{"several versions", "v1 v2", true, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tk := streamTickets(&stub.Store{}, strings.Fields(tt.versions)...)
+			tk.isCurrent = func() bool { return tt.current }
+			decision, err := tk.RequestTicket(t.Context(), sched.Request{
+				Call: "c", Service: "llm", Remaining: 4 * time.Second, TargetLatency: time.Second,
+				Spec: topo.CallSpec{Model: "m", PromptTokens: 10}, Resumable: tt.resumable,
+			})
+			if err != nil || decision.Kind != sched.Granted || decision.Grant.CheckStart != tt.want {
+				t.Errorf("%+v, %v, want a grant with CheckStart %v", decision, err, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against records of a large fleet that are saved only after the lease of a silent leader has ended, when they
 // are of no use any more, and against saves of all hosts that take more of what the store allows than their share.
 func TestSavesOfFleet(t *testing.T) {
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -57,6 +57,8 @@
 	dial func(ctx context.Context, addr string) (*link.Conn, error)
 	// departed reports whether an engine has left as far as this host knows.
 	departed func(engine string) bool
+	// isCurrent reports whether this host's list of upstreams is new enough to be used.
+	isCurrent func() bool
 	// loadAdapters orders adapter loads that the scheduler asks for.
 	loadAdapters func([]sched.AdapterLoad)
 	// notices holds what upstreams state about the calls that they take. It also serves the scheduler.
@@ -103,7 +105,7 @@
 		quotaDue: make(map[string]bool), quotaCh: make(chan struct{}, 1),
 		replies: make(map[string]func(sched.Decision)), remoteReplies: make(map[string]chan sched.Decision),
 		openTickets: make(map[uint64]*sched.OpenTicket), followers: make(map[string]*follower),
-		wakeCh: make(chan struct{}, 1), dial: link.Dial,
+		wakeCh: make(chan struct{}, 1), dial: link.Dial, isCurrent: func() bool { return true },
 	}
 }
 
@@ -116,14 +118,14 @@
 	start := time.Now()
 	decision, err := s.requestTicket(ctx, req)
 	if err != nil || !s.needsLookup(&decision) {
-		return s.noteMixed(&req, decision), err
+		return s.noteStartCheck(&req, decision), err
 	}
 	req.Remaining -= time.Since(start)
 	if software, _ := s.findSoftware(ctx, &req); software == "" {
 		return decision, nil
 	}
 	decision, err = s.requestTicket(ctx, req)
-	return s.noteMixed(&req, decision), err
+	return s.noteStartCheck(&req, decision), err
 }
 
 // requestTicket requests a ticket from the leader, or from the local scheduler if the leader does not reply.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -137,8 +137,9 @@
 		DelayedBy string `cbor:"9,keyasint,omitempty"`
 		// Software is the software version of the engine.
 		Software string `cbor:"10,keyasint,omitempty"`
-		// Mixed is set if the engines of the service have several software versions and the stream can be continued.
-		Mixed bool `cbor:"11,keyasint,omitempty"`
+		// CheckStart is set if the stream can be continued and the engine may have started again with another software
+		// version: the service has several, or the host's list of upstreams is too old to tell.
+		CheckStart bool `cbor:"11,keyasint,omitempty"`
 		// Speed, TokenCost and BaseCost are what the scheduler assumes: the speed of the engine as a multiple of the
 		// usual one, and the prefill time per token at usual speed, of the model and of one that was not measured.
 		Speed     float64       `cbor:"12,keyasint,omitempty"`
