Bound the memory of the estimates of what engines have cached

Cause: the estimate of an engine's cache is bounded by tokens, but takes memory by segments, and a segment may have one token or none.

Change: the estimates of all engines take 15% of the memory at most; each holds 256 segments at least, and the least recently used ones yield. Why it works: memory now follows from the number of segments, whatever their size.

Cost: no calls and no messages. At 790 engines the estimates take 30 MB at most where 15% of the memory are less.

--- a/internal/host/memory.go
+++ b/internal/host/memory.go
@@ -31,6 +31,7 @@
 func (h *Host) limitMemory() {
 	memory := h.Settings.memory()
 	mem.LimitRuntime(memory)
+	h.tickets.scheduler.CacheBytes = int64(mem.CacheShare * float64(memory))
 	requests, responses := mem.NewBudget(memory, mem.RequestShare), mem.NewBudget(memory, mem.ResponseShare)
 	h.entry.RequestMemory, h.entry.ResponseMemory = requests, responses
 	h.Stats.SetGaugeFunc("held_request_bytes", requests.Used)
--- a/internal/mem/budget.go
+++ b/internal/mem/budget.go
@@ -17,6 +17,8 @@
 	ReportShare = 0.05
 	// HeadShare is the share that may hold the heads of the requests of callers.
 	HeadShare = 0.15
+	// CacheShare is the share that may hold the estimates of what engines have cached.
+	CacheShare = 0.15
 	// MessageShare is the share that may hold messages of other hosts while they are received.
 	MessageShare = 0.05
 
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -293,7 +293,7 @@
 	e.addTicket(now, t)
 	s.Notices.Take(now, e.Instance(), s.LimitShare)
 	s.charge(now, t)
-	e.cache.add(p.prefixKeys, p.Spec.Segments)
+	e.cache.add(p.prefixKeys, p.Spec.Segments, s.maxSegments())
 	streams, _ := e.streams()
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -124,6 +124,8 @@
 	LimitShare float64
 	// Quota charges calls to the quotas of workspaces; nil charges nothing.
 	Quota *quota.Limiter
+	// CacheBytes bounds the memory of the estimates of what engines have cached; 0 does not bound it.
+	CacheBytes int64
 
 	config       *topo.Config
 	models       map[modelKey]*topo.Model
