Show hosts that do without a leader, and shorten tests

Cause: a log line said for each call that the leader did not reply, and none said that a host had begun or ceased to do without it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -144,6 +144,9 @@
 		_, known := h.elector.Leader()
 		return indicator(known)
 	})
+	h.Stats.SetGaugeFunc("leader_listens", func() int64 {
+		return indicator(h.elector.IsLeader() || h.tickets.listeningLeader() != nil)
+	})
 	h.Stats.SetGaugeFunc("backlogged_workspaces", h.tickets.backloggedWorkspaces)
 	h.relay.promises.HandoverDelay = s.HandoverDelay
 	h.elector.PromisedUntil = h.relay.promises.Until
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -76,6 +76,7 @@
 		keys     []savedKey // keys of records, oldest first
 		keySeq   int
 		failing  bool // the last call for saving failed
+		alone    bool // no leader listened at the last look
 
 		reads     batch.Call[*streamRead] // of the records, which are added to those of the scheduler
 		refreshes batch.Call[struct{}]
@@ -104,9 +105,11 @@
 func (s *streamStore) run(ctx context.Context) {
 	for interval := saveInterval; clock.Sleep(ctx, interval); {
 		save := s.save
-		if interval = saveInterval; !s.elector.IsLeader() {
+		leads := s.elector.IsLeader()
+		s.noteAlone(!leads && s.tickets.listeningLeader() == nil)
+		if interval = saveInterval; !leads {
 			s.setLoaded(false, nil)
-			if s.tickets.listeningLeader() != nil {
+			if !s.alone {
 				continue
 			}
 			save, interval = s.saveOwn, max(saveInterval, s.ownInterval())
@@ -129,6 +132,19 @@
 	}
 }
 
+// noteAlone records whether this host has to do without a leader, and logs when that changes.
+func (s *streamStore) noteAlone(alone bool) {
+	if alone == s.alone {
+		return
+	}
+	s.alone = alone
+	if alone {
+		s.log.Info().Msg("no leader listens, records of streams are saved by this host")
+		return
+	}
+	s.log.Info().Msg("a leader listens again")
+}
+
 func (s *streamStore) setLoaded(loaded bool, saved map[string][]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/host/streams_test.go
+++ b/internal/host/streams_test.go
@@ -410,60 +410,46 @@
 // because the host's list of upstreams is too old to say so and names one version.
 func TestStartCheckWithOldList(t *testing.T) {
 	for _, tt := range []struct {
-		name      string
-		versions  string
-		current   bool
-		resumable bool
-		want      bool
+		versions                 string
+		current, resumable, want bool
 	}{
-		{"one version", "v1", true, true, false},
-		{"one version, old list", "v1", false, true, true},
-		{"one version, old list, no stream", "v1", false, false, false},
-		{"several versions", "v1 v2", true, true, true},
+		{"v1", true, true, false}, {"v1", false, true, true}, {"v1", false, false, false}, {"v1 v2", true, true, true},
 	} {
-		t.Run(tt.name, func(t *testing.T) {
-			tk := streamTickets(&stub.Store{}, strings.Fields(tt.versions)...)
-			tk.isCurrent = func() bool { return tt.current }
-			decision, err := tk.RequestTicket(t.Context(), sched.Request{
-				Call: "c", Service: "llm", Remaining: 4 * time.Second, TargetLatency: time.Second,
-				Spec: topo.CallSpec{Model: "m", PromptTokens: 10}, Resumable: tt.resumable,
-			})
-			if err != nil || decision.Kind != sched.Granted || decision.Grant.CheckStart != tt.want {
-				t.Errorf("%+v, %v, want a grant with CheckStart %v", decision, err, tt.want)
-			}
+		tk := streamTickets(&stub.Store{}, strings.Fields(tt.versions)...)
+		tk.isCurrent = func() bool { return tt.current }
+		decision, err := tk.RequestTicket(t.Context(), sched.Request{
+			Call: "c", Service: "llm", Remaining: 4 * time.Second, TargetLatency: time.Second,
+			Spec: topo.CallSpec{Model: "m", PromptTokens: 10}, Resumable: tt.resumable,
 		})
+		if err != nil || decision.Kind != sched.Granted || decision.Grant.CheckStart != tt.want {
+			t.Errorf("%+v: %+v, %v", tt, decision, err)
+		}
 	}
 }
 
 // Guards against records of a large fleet that are saved only after the lease of a silent leader has ended, when they
 // are of no use any more, and against saves of all hosts that take more of what the store allows than their share.
 func TestSavesOfFleet(t *testing.T) {
-	const run = 30 * time.Second
-	for _, tt := range []struct {
-		hosts  int
-		writes float64
-	}{{6, 400}, {82, 1200}, {370, 3200}} {
-		t.Run(fmt.Sprint(tt.hosts), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				s := &stub.Store{}
-				tk := streamTickets(s, "v1", "v2")
-				tk.streams.hosts = func() int { return tt.hosts }
-				tk.streams.writesPerS = tt.writes
-				go tk.streams.run(ctx)
-				for i := range run / (20 * time.Millisecond) {
-					begin(tk, tk, fmt.Sprint(i), "v1")
-					time.Sleep(20 * time.Millisecond)
-				}
-				saves := float64(s.Calls("commit"))
-				if all := saves * float64(tt.hosts) / run.Seconds(); all > saveShare*tt.writes*1.05 {
-					t.Errorf("%.0f writes a second of all hosts, the store allows %.0f", all, tt.writes)
-				}
-				if delay := time.Duration(float64(run) / saves); delay > time.Second {
-					t.Errorf("records are saved every %v", delay)
-				}
-			})
+	const run, pause = 30 * time.Second, 20 * time.Millisecond
+	for hosts, writes := range map[int]float64{6: 400, 82: 1200, 370: 3200} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s := &stub.Store{}
+			tk := streamTickets(s, "v1", "v2")
+			tk.streams.hosts, tk.streams.writesPerS = func() int { return hosts }, writes
+			go tk.streams.run(ctx)
+			for i := range run / pause {
+				begin(tk, tk, fmt.Sprint(i), "v1")
+				time.Sleep(pause)
+			}
+			saves := float64(s.Calls("commit"))
+			if all := saves * float64(hosts) / run.Seconds(); all > saveShare*writes*1.05 {
+				t.Errorf("%.0f writes a second of %d hosts, the store allows %.0f", all, hosts, writes)
+			}
+			if delay := time.Duration(float64(run) / saves); delay > time.Second {
+				t.Errorf("records of %d hosts are saved every %v", hosts, delay)
+			}
 		})
 	}
 }
@@ -525,39 +511,34 @@
 // Guards against streams that cannot be taken up because they began at a leader that is lost before a release, so that
 // their records were neither at another host nor in the store.
 func TestStreamsOfLostLeader(t *testing.T) {
-	for _, first := range []string{"stays", "leaves"} {
-		t.Run("the first follower "+first, func(t *testing.T) {
-			withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
-				list(leader, "v1")
-				var hosts []*ticketService
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				for i := range 3 {
-					h := streamTickets(s, "v1")
-					h.self = fmt.Sprint("host-", i)
-					follow(t, h, leader)
-					go h.streams.run(ctx)
-					hosts = append(hosts, h)
-				}
-				begin(leader, leader, "a", "v1")
-				time.Sleep(time.Second)
-				if first == "leaves" {
-					hosts[0].leaderConn.Close()
-					hosts = hosts[1:]
-					time.Sleep(time.Second)
-				}
-				for _, h := range hosts {
-					h.leaderConn.Close()
-					h.mu.Lock()
-					h.leaderConn = nil
-					h.mu.Unlock()
+	for leave := range 2 { // followers that leave before the leader is lost
+		withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
+			list(leader, "v1")
+			var hosts []*ticketService
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for i := range 3 {
+				h := streamTickets(s, "v1")
+				h.self = fmt.Sprint("host-", i)
+				follow(t, h, leader)
+				go h.streams.run(ctx)
+				hosts = append(hosts, h)
+			}
+			begin(leader, leader, "a", "v1")
+			time.Sleep(time.Second)
+			for i, h := range hosts {
+				h.leaderConn.Close()
+				h.mu.Lock()
+				h.leaderConn = nil
+				h.mu.Unlock()
+				if i >= leave {
 					list(h, "v1", "v2")
 				}
 				time.Sleep(time.Second)
-				if got := takeUp(t, hosts[len(hosts)-1], "a"); got != "v1" {
-					t.Errorf("take-up: %q, want v1", got)
-				}
-			})
+			}
+			if got := takeUp(t, hosts[2], "a"); got != "v1" {
+				t.Errorf("take-up after %d followers have left: %q, want v1", leave, got)
+			}
 		})
 	}
 }
