Show streams that no host takes up after all hosts were killed

Case 11 of the review: all hosts are killed while a service has one software version, and one engine of another version joins before the consumers take their streams up.

--- /dev/null
+++ b/review/stand3/site.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// contactTime is the bound contact_ms: a machine counts as in touch if it was undisturbed for so long.
+	contactTime = 3 * time.Second
+	// heartbeat is how often engines write their entries.
+	heartbeat = 1200 * time.Millisecond
+
+	routeHost     = "desk.example"
+	streamPath    = "/query/"
+	streamService = "desk"
+	streamModel   = "m1"
+	engineSlots   = 64
+	kvTokens      = 250_000
+)
+
+// site is a deployment: hosts, engines and the platform's store.
+type site struct {
+	program, dir string
+	record       *record
+	store        *storeServer
+	hosts        []*host
+	engines      []*engine
+
+	stopBeats chan struct{}
+	beats     sync.WaitGroup
+}
+
+func newSite(program, dir string) *site {
+	return &site{program: program, dir: dir, record: &record{start: time.Now()}, stopBeats: make(chan struct{})}
+}
+
+// beat writes the entries of all engines until the site is closed.
+func (s *site) beat() {
+	s.beats.Go(func() {
+		tick := time.NewTicker(heartbeat)
+		defer tick.Stop()
+		for {
+			select {
+			case <-s.stopBeats:
+				return
+			case <-tick.C:
+			}
+			for _, e := range s.engines {
+				e.beat()
+			}
+		}
+	})
+}
+
+// close ends all processes and stand-ins.
+func (s *site) close() {
+	close(s.stopBeats)
+	s.beats.Wait()
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	for _, e := range s.engines {
+		e.close()
+	}
+	if s.store != nil {
+		_ = s.store.srv.Close()
+	}
+}
+
+// configure writes the configuration as the operator does: one route for streams that may be resumed.
+func (s *site) configure(timeout time.Duration) {
+	s.store.set("op/config", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "query", "hostname": routeHost, "path_prefix": streamPath, "kind": "streaming",
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 2000, "gap_target_ms": 500, "priority": 0,
+			"service": streamService, "max_attempts": 2, "resumable": true, "sticky": true,
+		}},
+		"services": []any{map[string]any{
+			"name": streamService, "health_path": "/health", "engine": map[string]any{
+				"slots": engineSlots, "kv_capacity": kvTokens, "weights_mb": 220_000, "adapter_slots": 8,
+				"loads_per_s": 2,
+				"models": []any{map[string]any{
+					"name": streamModel, "weights_mb": 70_000, "load_s": 4, "adapters": 0, "adapter_mb": 60,
+				}},
+			},
+		}},
+		"limits": map[string]any{
+			"max_header_bytes": 65536, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 60000,
+		},
+	})
+}
