--- a/review/stand3/engine.go
+++ b/review/stand3/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// firstEvent is the time until the first event of a stream, and eventGap that between two events.
-	firstEvent = 50 * time.Millisecond
-	eventGap   = 200 * time.Millisecond
+	// usualFirstEvent is the time until the first event of a stream, and eventGap that between two events.
+	usualFirstEvent = 50 * time.Millisecond
+	eventGap        = 200 * time.Millisecond
 	// loadTime is how long an engine takes to load a model.
 	loadTime = 4 * time.Second
 )
@@ -30,39 +31,55 @@
 	addr              string
 	srv               *http.Server
 	born              int64
+	firstEvent        time.Duration // until the first event of a stream
 
 	mu       sync.Mutex
 	beats    int
 	sequence int
-	holds    bool // the model is resident
+	resident []string // models
 	busy     bool
+	crashed  bool
 }
 
-// startEngine starts an engine and registers it. One that holds the model is an engine of the start of the system; any
-// other starts empty.
-func (s *site) startEngine(id, zone, version string, holds bool) error {
+// startEngine starts an engine and registers it. One that holds models is an engine of the start of the system; any other
+// starts empty.
+func (s *site) startEngine(id, zone, version string, resident ...string) (*engine, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return errors.Wrap(err, "listen for an engine")
+		return nil, errors.Wrap(err, "listen for an engine")
 	}
 	e := &engine{
 		id: id, zone: zone, version: version, store: s.store, record: s.record, addr: l.Addr().String(),
-		born: time.Now().UnixMilli(), holds: holds,
+		born: time.Now().UnixMilli(), resident: resident,
+		firstEvent: usualFirstEvent,
 	}
 	e.srv = &http.Server{ReadHeaderTimeout: time.Minute, Handler: e}
 	go func() { _ = e.srv.Serve(l) }()
 	e.beat()
 	s.engines = append(s.engines, e)
-	s.record.add("engine %s of version %s registers as ready", id, version)
-	return nil
+	s.record.add("engine %s of version %s registers as ready with %v", id, version, resident)
+	return e, nil
 }
 
 func (e *engine) close() { _ = e.srv.Close() }
 
+// crash ends the engine for good, with all its channels. The platform removes its entry after three heartbeats.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	e.record.add("engine %s of version %s crashes", e.id, e.version)
+	e.close()
+	time.AfterFunc(3*heartbeat, func() { e.store.Delete("servers/" + e.id) })
+}
+
 // beat writes the entry of the engine.
 func (e *engine) beat() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.crashed {
+		return
+	}
 	e.beats++
 	e.store.set("servers/"+e.id, map[string]any{
 		"service": streamService, "address": e.addr, "zone": e.zone, "version": e.version, "state": "ready",
@@ -73,10 +90,11 @@
 
 // models returns what the engine holds; e.mu is held.
 func (e *engine) models() []map[string]any {
-	if !e.holds {
-		return []map[string]any{}
+	out := []map[string]any{}
+	for _, name := range e.resident {
+		out = append(out, map[string]any{"name": name, "version": 1, "adapters": []string{}})
 	}
-	return []map[string]any{{"name": streamModel, "version": 1, "adapters": []string{}}}
+	return out
 }
 
 // ServeHTTP implements http.Handler.
@@ -129,18 +147,19 @@
 	switch {
 	case e.busy, o.Expected != nil && *o.Expected != e.sequence:
 		status = http.StatusConflict
-	case o.Operation != "loading" || o.Model != streamModel:
-		status = http.StatusBadRequest
-	case e.holds:
+	case slices.Contains(e.resident, o.Model) == (o.Operation == "loading"):
 		status = http.StatusOK
-	default:
+	case o.Operation == "loading":
 		e.sequence++
 		e.busy = true
 		time.AfterFunc(loadTime, func() {
 			e.mu.Lock()
-			e.busy, e.holds = false, true
+			e.busy, e.resident = false, append(e.resident, o.Model)
 			e.mu.Unlock()
 		})
+	default:
+		e.sequence++
+		e.resident = slices.DeleteFunc(e.resident, func(name string) bool { return name == o.Model })
 	}
 	e.record.add("engine %s is ordered by %s, token %d: %s %s, answers %d",
 		e.id, o.Holder, o.Token, o.Operation, o.Model, status)
@@ -150,7 +169,7 @@
 // stream sends the events after the one that the request names.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	holds := e.holds
+	holds := slices.Contains(e.resident, r.Header.Get("Model"))
 	e.mu.Unlock()
 	id := r.Header.Get("Attempt-Id")
 	if !holds {
@@ -164,7 +183,7 @@
 	w.Header().Set("Server-Signature", "sig."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	ctrl := http.NewResponseController(w)
-	wait := firstEvent
+	wait := e.firstEvent
 	for n := last + 1; n <= total; n++ {
 		select {
 		case <-r.Context().Done():
--- a/review/stand3/hosts.go
+++ b/review/stand3/hosts.go
@@ -29,6 +29,7 @@
 	name, zone, ip                   string
 	front, ready, control, directory string
 	program, file, log               string
+	port                             *storePort
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -56,7 +57,12 @@
 		seeds = append(seeds, fmt.Sprintf("%q", h.control))
 	}
 	for _, h := range s.hosts {
-		if err := h.writeSettings(s.store.addr, strings.Join(seeds, ",")); err != nil {
+		port, err := s.store.listen()
+		if err != nil {
+			return err
+		}
+		h.port = port
+		if err := h.writeSettings(port.addr, strings.Join(seeds, ",")); err != nil {
 			return err
 		}
 		if err := h.start(); err != nil {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,6 +25,8 @@
 
 var plays = map[string]play{
 	"takeups": playTakeUps,
+	"silent":  playSilent,
+	"crash":   playCrash,
 }
 
 func main() {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -26,6 +26,7 @@
 	store        *storeServer
 	hosts        []*host
 	engines      []*engine
+	plains       []*plain
 
 	stopBeats chan struct{}
 	beats     sync.WaitGroup
@@ -49,6 +50,9 @@
 			for _, e := range s.engines {
 				e.beat()
 			}
+			for _, p := range s.plains {
+				p.beat()
+			}
 		}
 	})
 }
@@ -63,13 +67,22 @@
 	for _, e := range s.engines {
 		e.close()
 	}
+	for _, p := range s.plains {
+		_ = p.srv.Close()
+	}
 	if s.store != nil {
-		_ = s.store.srv.Close()
+		s.store.close()
 	}
 }
 
 // configure writes the configuration as the operator does: one route for streams that may be resumed.
-func (s *site) configure(timeout time.Duration) {
+func (s *site) configure(timeout time.Duration, names ...string) {
+	models := make([]any, 0, len(names))
+	for _, name := range names {
+		models = append(models, map[string]any{
+			"name": name, "weights_mb": 70_000, "load_s": loadTime.Seconds(), "adapters": 0, "adapter_mb": 60,
+		})
+	}
 	s.store.set("op/config", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
@@ -80,10 +93,7 @@
 		"services": []any{map[string]any{
 			"name": streamService, "health_path": "/health", "engine": map[string]any{
 				"slots": engineSlots, "kv_capacity": kvTokens, "weights_mb": 220_000, "adapter_slots": 8,
-				"loads_per_s": 2,
-				"models": []any{map[string]any{
-					"name": streamModel, "weights_mb": 70_000, "load_s": 4, "adapters": 0, "adapter_mb": 60,
-				}},
+				"loads_per_s": 2, "models": models,
 			},
 		}},
 		"limits": map[string]any{
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,11 +21,27 @@
 )
 
 type (
-	// storeServer serves a store in memory as the platform does.
+	// storeServer serves a store in memory as the platform does, on one address for each host.
 	storeServer struct {
 		*stub.Store
+		mux   *http.ServeMux
+		ports []*storePort
+	}
+
+	// storePort is the address of the store for one host.
+	storePort struct {
 		addr string
 		srv  *http.Server
+		// mute means that calls of the host get no response. A channel on which a response is lost returns nothing
+		// further.
+		mute atomic.Bool
+	}
+
+	// portWriter sends the responses of one call, unless its port is mute.
+	portWriter struct {
+		http.ResponseWriter
+		port *storePort
+		done <-chan struct{} // closed when the channel ends
 	}
 
 	storeItem struct {
@@ -42,27 +59,47 @@
 	}
 )
 
-// newStoreServer starts a store on a free port.
-func newStoreServer() (*storeServer, error) {
+func newStoreServer() *storeServer {
+	s := &storeServer{Store: &stub.Store{}, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /figreel/kv-range", s.list)
+	s.mux.HandleFunc("GET /figreel/kv-watch", s.watch)
+	s.mux.HandleFunc("POST /figreel/kv-txn", s.commit)
+	s.mux.HandleFunc("POST /figreel/kv-lease", s.grant)
+	s.mux.HandleFunc("POST /figreel/kv-keep/{id}", s.keep)
+	s.mux.HandleFunc("DELETE /figreel/kv-lease-end/{id}", s.end)
+	return s
+}
+
+// listen serves the calls of one host on a free port.
+func (s *storeServer) listen() (*storePort, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
 	}
-	s := &storeServer{Store: &stub.Store{}, addr: l.Addr().String()}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /figreel/kv-range", s.list)
-	mux.HandleFunc("GET /figreel/kv-watch", s.watch)
-	mux.HandleFunc("POST /figreel/kv-txn", s.commit)
-	mux.HandleFunc("POST /figreel/kv-lease", s.grant)
-	mux.HandleFunc("POST /figreel/kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /figreel/kv-lease-end/{id}", s.end)
-	s.srv = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
+	p := &storePort{addr: l.Addr().String()}
+	p.srv = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(storeDelay)
-			mux.ServeHTTP(w, r)
+			s.mux.ServeHTTP(&portWriter{w, p, r.Context().Done()}, r)
 		})}
-	go func() { _ = s.srv.Serve(l) }()
-	return s, nil
+	go func() { _ = p.srv.Serve(l) }()
+	s.ports = append(s.ports, p)
+	return p, nil
+}
+
+func (s *storeServer) close() {
+	for _, p := range s.ports {
+		_ = p.srv.Close()
+	}
+}
+
+// WriteHeader implements http.ResponseWriter. Of a response that is lost it sends nothing until the channel ends.
+func (w *portWriter) WriteHeader(status int) {
+	if w.port.mute.Load() {
+		<-w.done
+		panic(http.ErrAbortHandler)
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // set writes a key without a lease, as the operator and the engines do.
--- a/review/stand3/takeups.go
+++ b/review/stand3/takeups.go
@@ -61,30 +61,33 @@
 		return false, err
 	}
 	time.Sleep(time.Until(kill.Add(releaseAt)))
-	if err := s.startEngine("i-new", "a", newVersion, false); err != nil {
+	if _, err := s.startEngine("i-new", "a", newVersion); err != nil {
 		return false, err
 	}
-	var short []*stream
 	time.Sleep(time.Until(kill.Add(newFrom)))
-	for time.Since(kill) < newUntil {
+	short := s.beginStreams(ctx, &wg, kill.Add(newUntil))
+	wg.Wait()
+	return s.judgeTakeUps(long, short), nil
+}
+
+// beginStreams starts short streams until a time.
+func (s *site) beginStreams(ctx context.Context, wg *sync.WaitGroup, until time.Time) []*stream {
+	var out []*stream
+	for time.Now().Before(until) {
 		x := &stream{site: s, total: shortTotal, deadline: time.Now().Add(longDeadline)}
-		short = append(short, x)
-		h := s.hosts[len(short)%len(s.hosts)]
+		out = append(out, x)
+		h := s.hosts[len(out)%len(s.hosts)]
 		wg.Go(func() { x.try(ctx, h) })
 		time.Sleep(newInterval)
 	}
-	wg.Wait()
-	return s.judgeTakeUps(long, short), nil
+	return out
 }
 
 func (s *site) startTakeUps(ctx context.Context) error {
-	var err error
-	if s.store, err = newStoreServer(); err != nil {
-		return err
-	}
-	s.configure(longDeadline)
+	s.store = newStoreServer()
+	s.configure(longDeadline, streamModel)
 	for i := range oldEngines {
-		if err := s.startEngine(fmt.Sprint("i-", i), string(rune('a'+i%3)), oldVersion, true); err != nil {
+		if _, err := s.startEngine(fmt.Sprint("i-", i), string(rune('a'+i%3)), oldVersion, streamModel); err != nil {
 			return err
 		}
 	}
@@ -129,8 +132,8 @@
 	}
 }
 
-// judgeTakeUps reports whether the share of the take-ups that go on is under half of that of the new streams that
-// begin, at hosts in touch. All engines of the old version serve all the while.
+// judgeTakeUps reports whether the share of the take-ups that go on is under half of that of the new streams that begin,
+// at hosts in touch. Two engines or more of the versions that began the streams serve all the while.
 func (s *site) judgeTakeUps(long, short []*stream) bool {
 	begun, begins, wentOn, takeUps, mixed := 0, 0, 0, 0, 0
 	for _, x := range append(long, short...) {
