Show engines that crash because an adapter in use counts as unloaded

Case 14: two of ten consumers leave, and the engines finish their requests. The leader orders the unload of an adapter that is in use, takes 202 for done and orders a load beyond adapter_slots 1 ms later.

--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -21,6 +22,7 @@
 	// stream is one response to a consumer, over all its attempts.
 	stream struct {
 		site     *site
+		model    string // with the adapter; streamModel if it is empty
 		total    int
 		deadline time.Time
 		events   []event
@@ -124,9 +126,9 @@
 // request returns the request of an attempt.
 func (s *stream) request(a *attempt) string {
 	var b strings.Builder
-	body := "prompt of " + s.attempts[0].id
+	body, model := "prompt of "+s.attempts[0].id, cmp.Or(s.model, streamModel)
 	fmt.Fprintf(&b, "POST %sa HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nRequest-Deadline: %d\r\nModel: %s\r\n",
-		streamPath, routeHost, a.id, time.Until(s.deadline).Milliseconds(), streamModel)
+		streamPath, routeHost, a.id, time.Until(s.deadline).Milliseconds(), model)
 	fmt.Fprintf(&b, "Token-Count: 120,%d\r\nPrompt-Prefix: 5c1e07a2:80,%s:40\r\nContent-Length: %d\r\n", s.total,
 		s.attempts[0].id, len(body))
 	if a.after > 0 {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -27,6 +27,7 @@
 	"takeups": playTakeUps,
 	"silent":  playSilent,
 	"crash":   playCrash,
+	"adapter": playAdapter,
 }
 
 func main() {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -17,6 +17,8 @@
 	streamModel   = "m1"
 	engineSlots   = 64
 	kvTokens      = 250_000
+	// adapterSlots is how many adapters an engine holds at most.
+	adapterSlots = 5
 )
 
 // site is a deployment: hosts, engines and the platform's store.
@@ -80,7 +82,8 @@
 	models := make([]any, 0, len(names))
 	for _, name := range names {
 		models = append(models, map[string]any{
-			"name": name, "weights_mb": 70_000, "load_s": loadTime.Seconds(), "adapters": 0, "adapter_mb": 60,
+			"name": name, "weights_mb": 70_000, "load_s": loadTime.Seconds(), "adapters": 24,
+			"adapter_mb": 66,
 		})
 	}
 	s.store.set("op/config", map[string]any{
@@ -92,7 +95,7 @@
 		}},
 		"services": []any{map[string]any{
 			"name": streamService, "health_path": "/health", "engine": map[string]any{
-				"slots": engineSlots, "kv_capacity": kvTokens, "weights_mb": 220_000, "adapter_slots": 8,
+				"slots": engineSlots, "kv_capacity": kvTokens, "weights_mb": 220_000, "adapter_slots": adapterSlots,
 				"loads_per_s": 2, "models": models,
 			},
 		}},
