--- a/review/stand3/adapter.go
+++ b/review/stand3/adapter.go
@@ -40,7 +40,8 @@
 	streams := make([]*stream, adapterStreams)
 	for i := range streams {
 		streams[i] = &stream{
-			site: s, model: fmt.Sprintf("%s/a%d", streamModel, i+1), total: longTotal, deadline: begin.Add(longDeadline),
+			site: s, model: fmt.Sprintf("%s/a%d", streamModel, i+1), total: longTotal,
+			deadline: begin.Add(longDeadline),
 		}
 		wg.Go(func() { streams[i].try(ctx, s.hosts[i%len(s.hosts)]) })
 		time.Sleep(crashPause)
--- a/review/stand3/engine.go
+++ b/review/stand3/engine.go
@@ -27,6 +27,7 @@
 // engine is a stand-in of a model engine. It writes its software version into each event.
 type engine struct {
 	id, zone, version string
+	service           string
 	store             *storeServer
 	record            *record
 	addr              string
@@ -62,15 +63,21 @@
 	unloading bool // it is unloaded when its runs have ended
 }
 
-// startEngine starts an engine and registers it. One that holds models is an engine of the start of the system; any other
-// starts empty.
+// startEngine starts an engine of the service and registers it. One that holds models is an engine of the start of the
+// system; any other starts empty.
 func (s *site) startEngine(id, zone, version string, resident ...string) (*engine, error) {
+	return s.startEngineOf(streamService, id, zone, version, resident...)
+}
+
+// startEngineOf is startEngine for a named service.
+func (s *site) startEngineOf(service, id, zone, version string, resident ...string) (*engine, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for an engine")
 	}
 	e := &engine{
-		id: id, zone: zone, version: version, store: s.store, record: s.record, addr: l.Addr().String(),
+		id: id, zone: zone, version: version, service: service, addr: l.Addr().String(),
+		store: s.store, record: s.record,
 		born: time.Now().UnixMilli(), resident: resident,
 		firstEvent: usualFirstEvent, adapters: make(map[string]*adapter),
 	}
@@ -103,7 +110,7 @@
 	}
 	e.beats++
 	e.store.set("servers/"+e.id, map[string]any{
-		"service": streamService, "address": e.addr, "zone": e.zone, "version": e.version, "state": "ready",
+		"service": e.service, "address": e.addr, "zone": e.zone, "version": e.version, "state": "ready",
 		"born": e.born, "cold_left_ms": 0, "sequence": e.beats, "slots": engineSlots, "stage": "both",
 		"models": e.models(), "available": map[string]any{"in_memory": []string{}, "on_disk": []string{}},
 	})
@@ -195,8 +202,8 @@
 	w.WriteHeader(status)
 }
 
-// orderAdapter carries out an order for an adapter and returns the status of the answer. An adapter that no request uses
-// is unloaded immediately; any other is unloaded when its runs have ended. e.mu is held.
+// orderAdapter carries out an order for an adapter and returns the status of the answer. An adapter that no request
+// uses is unloaded immediately; any other is unloaded when its runs have ended. e.mu is held.
 func (e *engine) orderAdapter(o *order) int {
 	full := o.Model + "/" + o.Adapter
 	a := e.adapters[full]
--- a/review/stand3/hosts.go
+++ b/review/stand3/hosts.go
@@ -18,6 +18,7 @@
 
 const (
 	hostPrefix = "figreel/hosts/"
+	leaderKey  = "figreel/seat"
 	// firstSpan is the second byte of the loopback addresses of the hosts; each span is one zone.
 	firstSpan = 71
 	// readyTime bounds the time until all hosts are ready.
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -28,6 +28,7 @@
 	"silent":  playSilent,
 	"crash":   playCrash,
 	"adapter": playAdapter,
+	"split":   playSplit,
 }
 
 func main() {
@@ -64,6 +65,7 @@
 		return false, errors.Wrap(err, "temporary folder")
 	}
 	s := newSite(program, dir)
+	s.closeAtEnd()
 	defer func() {
 		s.close()
 		if err == nil {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +35,7 @@
 
 	stopBeats chan struct{}
 	beats     sync.WaitGroup
+	closeOnce sync.Once
 }
 
 func newSite(program, dir string) *site {
@@ -59,8 +63,24 @@
 	})
 }
 
+// closeAtEnd ends all processes, and then this one, if the case takes too long or is stopped by a signal.
+func (s *site) closeAtEnd() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(maxPlay):
+		}
+		s.close()
+		os.Exit(exitFailed)
+	}()
+}
+
 // close ends all processes and stand-ins.
-func (s *site) close() {
+func (s *site) close() { s.closeOnce.Do(s.end) }
+
+func (s *site) end() {
 	close(s.stopBeats)
 	s.beats.Wait()
 	for _, h := range s.hosts {
@@ -78,28 +98,38 @@
 }
 
 // configure writes the configuration as the operator does: one route for streams that may be resumed.
-func (s *site) configure(timeout time.Duration, names ...string) {
+func (s *site) configure(timeout time.Duration, models ...string) {
+	s.configureSplit(timeout, []string{streamService}, models...)
+}
+
+// configureSplit is configure for a route that is split evenly over services.
+func (s *site) configureSplit(timeout time.Duration, services []string, names ...string) {
 	models := make([]any, 0, len(names))
 	for _, name := range names {
 		models = append(models, map[string]any{
-			"name": name, "weights_mb": 70_000, "load_s": loadTime.Seconds(), "adapters": 24,
-			"adapter_mb": 66,
+			"name": name, "weights_mb": 70_000, "load_s": loadTime.Seconds(), "adapters": 24, "adapter_mb": 66,
 		})
 	}
-	s.store.set("op/config", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "query", "hostname": routeHost, "path_prefix": streamPath, "kind": "streaming",
-			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 2000, "gap_target_ms": 500, "priority": 0,
-			"service": streamService, "max_attempts": 2, "resumable": true, "sticky": true,
-		}},
-		"services": []any{map[string]any{
-			"name": streamService, "health_path": "/health", "engine": map[string]any{
+	var split, list []any
+	for _, name := range services {
+		split = append(split, map[string]any{"service": name, "weight": 1})
+		list = append(list, map[string]any{
+			"name": name, "health_path": "/health", "engine": map[string]any{
 				"slots": engineSlots, "kv_capacity": kvTokens, "weights_mb": 220_000, "adapter_slots": adapterSlots,
 				"loads_per_s": 2, "models": models,
 			},
-		}},
-		"limits": map[string]any{
+		})
+	}
+	route := map[string]any{
+		"name": "query", "hostname": routeHost, "path_prefix": streamPath, "kind": "streaming",
+		"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 2000, "gap_target_ms": 500, "priority": 0,
+		"service": services[0], "max_attempts": 2, "resumable": true, "sticky": true,
+	}
+	if len(services) > 1 {
+		route["traffic_split"] = split
+	}
+	s.store.set("op/config", map[string]any{
+		"version": 1, "routes": []any{route}, "services": list, "limits": map[string]any{
 			"max_header_bytes": 65536, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 60000,
 		},
 	})
--- a/review/stand3/takeups.go
+++ b/review/stand3/takeups.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -132,8 +133,15 @@
 	}
 }
 
-// judgeTakeUps reports whether the share of the take-ups that go on is under half of that of the new streams that begin,
-// at hosts in touch. Two engines or more of the versions that began the streams serve all the while.
+// wentOn reports whether an attempt brought events of the version that began the stream.
+func (x *stream) wentOn(a *attempt) bool {
+	return slices.ContainsFunc(x.events, func(e event) bool {
+		return e.attempt == a && e.version == x.events[0].version
+	})
+}
+
+// judgeTakeUps reports whether the share of the take-ups that go on is under half of that of the new streams that
+// begin, at hosts in touch. Two engines or more of the versions that began the streams serve all the while.
 func (s *site) judgeTakeUps(long, short []*stream) bool {
 	begun, begins, wentOn, takeUps, mixed := 0, 0, 0, 0, 0
 	for _, x := range append(long, short...) {
@@ -147,7 +155,7 @@
 				}
 			default:
 				takeUps++
-				if a.got > 0 {
+				if x.wentOn(a) {
 					wentOn++
 				}
 			}
