Make waiting calls to the store again when an outage has ended

Cause: the response to a watch call that waited was lost on a connection that stayed open. The end of the outage ended the pauses after failed calls, but not the calls that were waiting, which have a timeout of 11.5 s of their own. Other hosts stated the version of their configuration only where keys must be revoked in time.

Change: all waiting calls are made again when calls to the store succeed after a failure, and a call for the configuration also when it has waited for 0.5 to 1 s since another host stated a newer item. The end of an outage that another host has reported first is noticed too. Why it works: a host trusts a waiting call no longer than what it learns meanwhile allows, whether the outage hit all calls or only that one.

Messages: the statement is an optional field that existed. A host of an earlier release ignores it unless it revokes keys in time, for which it is valid; a message without it states nothing.

Cost at 370 hosts, calculated: 12 bytes more in 1,500 responses a second of the two sources, and one call more of each host at the store after an outage, spread over 3.7 s.

--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -502,3 +503,29 @@
 		}
 	})
 }
+
+// Guards against the end of an outage that goes unnoticed because another host has reported it before.
+func TestStoreReachableAfterRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s, started := &stub.Store{}, time.Now()
+		var reached atomic.Int32
+		e := &elect.Elector{
+			Now:  func() time.Duration { return time.Since(started) + time.Second },
+			Self: topo.Host{Name: "a"}, Store: s, Log: zerolog.Nop(), LeadershipChanged: func(bool) {},
+			Rank: func(string) int { return 0 }, StoreReachable: func() { reached.Add(1) },
+		}
+		go e.Run(ctx)
+		time.Sleep(time.Second)
+		s.Do(func() { s.Fault = func(string) error { return store.ErrNotExecuted } })
+		time.Sleep(5 * time.Second)
+		s.Do(func() { s.Fault = nil })
+		e.RetryStore()
+		time.Sleep(time.Second)
+		if n := reached.Load(); n != 1 {
+			t.Errorf("the end of the outage was reported %d times, want once", n)
+		}
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/elect/retry.go
+++ b/internal/elect/retry.go
@@ -46,7 +46,7 @@
 		hosts = e.Hosts()
 	}
 	e.mu.Lock()
-	recovered, lost := err == nil && e.failures > 0, err != nil && e.failures == 0
+	recovered, lost := err == nil && e.storeFailing, err != nil && e.failures == 0
 	e.storeFailing = err != nil
 	pause := time.Duration(0)
 	if err == nil {
--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -21,6 +21,13 @@
 	spreadShare = 0.1
 )
 
+const (
+	// missedAfter is how long a watch call may wait although another host has stated a newer item. For each host
+	// missedSpread times its Place is added, so that a slow store does not get the calls of all hosts again at once.
+	missedAfter  = 500 * time.Millisecond
+	missedSpread = 500 * time.Millisecond
+)
+
 const (
 	// minWait is the shortest wait of a watch call.
 	minWait = 10 * time.Millisecond
@@ -28,8 +35,12 @@
 	checkInterval = 100 * time.Millisecond
 )
 
-// ErrConfirmNow is the cause of the end of a watch call that would have confirmed the copy too late.
-var ErrConfirmNow = errors.New("the configuration must be confirmed")
+var (
+	// ErrConfirmNow is the cause of the end of a watch call that would have confirmed the copy too late.
+	ErrConfirmNow = errors.New("the configuration must be confirmed")
+	// ErrMissed is the cause of the end of a watch call that has not returned an item that another host has.
+	ErrMissed = errors.New("another host has an item that this watch call has not returned")
+)
 
 type (
 	// Copy is what is known of the age of a host's copy. Its exported fields are set before use.
@@ -43,7 +54,8 @@
 		mu          sync.Mutex
 		confirmedAt time.Duration // 0 before the first confirmation
 		relayedAt   time.Duration // as of which other hosts have confirmed the copy
-		announced   store.Version // of the newest item of the host that has stated its own last
+		missing     store.Version // of the first item that another host has stated and this copy lacked
+		missingAt   time.Duration // when that was
 	}
 
 	// State says how new the copy of the sender of a message is.
@@ -98,21 +110,21 @@
 	return max(c.ConfirmedAt()+c.MaxWait()-now, minWait).Truncate(time.Millisecond)
 }
 
-// EndWhen ends a watch call with a long wait when due returns true, until ctx ends.
-func (c *Copy) EndWhen(ctx context.Context, cancel context.CancelCauseFunc, due func() bool) {
+// EndWhen ends a watch call with the error that due returns, unless that is nil, until ctx ends.
+func (c *Copy) EndWhen(ctx context.Context, cancel context.CancelCauseFunc, due func() error) {
 	for clock.Sleep(ctx, checkInterval) {
-		if due() {
-			cancel(ErrConfirmNow)
+		if err := due(); err != nil {
+			cancel(err)
 		}
 	}
 }
 
-// State returns the state of the copy for a host whose request arrived at a time, or nil if it is not known or does not
-// matter. newest returns the version of the newest item of the copy.
+// State returns the state of the copy for a host whose request arrived at a time, or nil if it is not known. newest
+// returns the version of the newest item of the copy.
 func (c *Copy) State(arrived time.Duration, newest func() store.Version) *State {
 	// The version is read later, so it covers all changes up to that time.
 	at := c.ConfirmedAt()
-	if !c.Enabled() || at == 0 {
+	if at == 0 {
 		return nil
 	}
 	v := newest()
@@ -126,25 +138,37 @@
 // Merge records the state of another host's copy, in the response to a request that was sent at a time. It confirms
 // this host's copy, which is complete as of a version, unless the other host has a newer item.
 func (c *Copy) Merge(sent time.Duration, s *State, own store.Version) {
-	if s == nil || !c.Enabled() {
+	if s == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.announced = store.Version{Era: s.Era, Revision: s.Revision}
-	if own.Compare(c.announced) < 0 {
+	if newest := (store.Version{Era: s.Era, Revision: s.Revision}); own.Compare(newest) < 0 {
+		if own.Compare(c.missing) >= 0 {
+			c.missing, c.missingAt = newest, sent
+		}
 		return
 	}
-	at := sent + s.confirmed()
-	c.confirmedAt, c.relayedAt = max(c.confirmedAt, at), max(c.relayedAt, at)
+	if at := sent + s.confirmed(); c.Enabled() {
+		c.confirmedAt, c.relayedAt = max(c.confirmedAt, at), max(c.relayedAt, at)
+	}
 }
 
-// Behind reports whether another host has an item that is newer than this host's copy, which is complete as of a
+// Behind reports whether another host has stated an item that is newer than this host's copy, which is complete as of a
 // version.
 func (c *Copy) Behind(own store.Version) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return own.Compare(c.announced) < 0
+	return own.Compare(c.missing) < 0
+}
+
+// Missed reports whether a watch call of this host, whose copy is complete as of a version, has been waiting for so long
+// since another host stated a newer item that its response must be lost.
+func (c *Copy) Missed(sent, now time.Duration, own store.Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := missedAfter + time.Duration(c.Place*float64(missedSpread))
+	return own.Compare(c.missing) < 0 && now-max(sent, c.missingAt) >= late
 }
 
 func (s *State) confirmed() time.Duration { return time.Duration(s.ConfirmedMS) * time.Millisecond }
--- a/internal/host/cache.go
+++ b/internal/host/cache.go
@@ -53,6 +53,9 @@
 	maxDeletions = 500
 )
 
+// errOutageEnded is the cause of the end of a watch call that was sent before the store became reachable again.
+var errOutageEnded = errors.New("the store has become reachable again")
+
 // storeCache is this host's copy of the configuration, the upstreams and the registered hosts in the store.
 type storeCache struct {
 	platform *Platform
@@ -85,7 +88,7 @@
 	outageAt    time.Duration            // boot time at which an outage was last confirmed, 0 if there is none
 	outageEnd   time.Duration            // boot time at which the copy was first confirmed after an outage, 0 before
 	nextChange  chan struct{}            // closed at the next change
-	retryNow    chan struct{}            // closed when calls to the store should be tried again at once
+	retryNow    chan struct{}            // closed when calls to the store should be made again at once
 }
 
 // serviceVersion is a software version of a service.
@@ -213,7 +216,8 @@
 // maxBackoff returns the longest time between two calls to an unreachable store.
 func (sc *storeCache) maxBackoff() time.Duration { return elect.OutageRetryInterval(sc.hostCount()) }
 
-// retryStore ends all waits after failed calls to the store.
+// retryStore ends all waits after failed calls to the store, and all watch calls: the responses to those that were sent
+// before the store became reachable again may be lost.
 func (sc *storeCache) retryStore() {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -265,10 +269,18 @@
 	}
 	sc.mu.Unlock()
 	events, as, err := sc.callWatch(ctx, prefix, after, wait)
-	if errors.Is(err, fresh.ErrConfirmNow) {
+	switch {
+	case errors.Is(err, fresh.ErrConfirmNow):
 		return nil
-	}
-	if err != nil {
+	case errors.Is(err, errOutageEnded):
+		sc.stats.CountEvent("watch_repeated")
+		sc.log.Info().Str("prefix", prefix).Dur("waited_ms", sc.now()-start).Msg("watch call repeated after an outage")
+		return nil
+	case errors.Is(err, fresh.ErrMissed):
+		sc.stats.CountEvent("watch_missed_change")
+		sc.log.Warn().Str("prefix", prefix).Dur("waited_ms", sc.now()-start).Msg("watch call has missed a change")
+		return err
+	case err != nil:
 		return err
 	}
 	sc.markReachable(prefix)
@@ -340,6 +352,7 @@
 	sc.mu.Unlock()
 	if was {
 		sc.log.Info().Str("prefix", prefix).Msg("store reachable again")
+		sc.retryStore()
 		sc.elector.RetryStore()
 	}
 }
--- a/internal/host/changes.go
+++ b/internal/host/changes.go
@@ -100,8 +100,8 @@
 }
 
 // knownRevisions returns the cached revisions of the prefixes whose changes other hosts should send. The prefix of the
-// configuration is included only while the store is unreachable or another host has a newer one, because every host
-// watches it: it is too large to be sent to a whole fleet by a few hosts.
+// configuration is included only while the store is unreachable, or while another host has a newer one and keys must be
+// revoked in time, because every host watches it: it is too large to be sent to a whole fleet by a few hosts.
 func (sc *storeCache) knownRevisions() []link.PrefixState {
 	// The scheduler reads the upstreams while it is locked, so it is asked before the copy is locked.
 	schedules := sc.schedulesCalls()
@@ -109,7 +109,7 @@
 	defer sc.mu.Unlock()
 	out := make([]link.PrefixState, 0, len(sc.states))
 	for _, p := range sc.states {
-		if p.prefix != sc.platform.ConfigPrefix || p.unreachable || sc.age.Behind(p.version) {
+		if p.prefix != sc.platform.ConfigPrefix || p.unreachable || sc.age.Enabled() && sc.age.Behind(p.version) {
 			out = append(out, link.PrefixState{
 				Prefix: p.prefix, Revision: p.version.Revision, Era: p.version.Era, DetailRevision: p.detailRevision,
 				WantsDetails: sc.wantsDetails(p, schedules),
--- a/internal/host/confirm.go
+++ b/internal/host/confirm.go
@@ -6,6 +6,7 @@
 
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/creds"
+	"github.com/figreel/figreel/internal/fresh"
 	"github.com/figreel/figreel/internal/store"
 )
 
@@ -36,20 +37,40 @@
 	return sc.age.Enabled() && (sc.age.Lapsed(sc.now()) || sc.isSource != nil && sc.isSource())
 }
 
-// callWatch makes a watch call. One for the configuration with a long wait ends with fresh.ErrConfirmNow when the store
-// must confirm it sooner.
+// callWatch makes a watch call. The store may have lost its response, while the connection stays open. So the call ends
+// with errOutageEnded when other calls are answered again, and one for the configuration with fresh.ErrMissed when
+// another host has a newer item. One with a long wait also ends with fresh.ErrConfirmNow when the store must confirm the
+// configuration sooner.
 func (sc *storeCache) callWatch(
 	ctx context.Context, prefix string, after store.Version, wait time.Duration,
 ) ([]store.Event, store.Version, error) {
-	if prefix != sc.platform.ConfigPrefix || !sc.age.Enabled() || wait <= sc.age.MaxWait() {
-		return sc.platform.Store.Watch(ctx, prefix, after, wait)
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go sc.age.EndWhen(ctx, cancel, sc.confirmsConfig)
+	sc.mu.Lock()
+	outageEnded := sc.retryNow
+	sc.mu.Unlock()
+	go func() {
+		select {
+		case <-outageEnded:
+			cancel(errOutageEnded)
+		case <-ctx.Done():
+		}
+	}()
+	if prefix == sc.platform.ConfigPrefix && wait > probeWait {
+		sent := sc.now()
+		go sc.age.EndWhen(ctx, cancel, func() error {
+			switch {
+			case sc.age.Missed(sent, sc.now(), sc.configVersion()):
+				return fresh.ErrMissed
+			case sc.age.Enabled() && wait > sc.age.MaxWait() && sc.confirmsConfig():
+				return fresh.ErrConfirmNow
+			}
+			return nil
+		})
+	}
 	events, as, err := sc.platform.Store.Watch(ctx, prefix, after, wait)
-	if err != nil && context.Cause(ctx) != nil {
-		err = context.Cause(ctx)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
 	}
 	return events, as, err
 }
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -40,7 +40,10 @@
 		silent atomic.Bool // the host neither sends nor receives anything
 		slow   atomic.Bool // messages to other hosts are sent when this ends, as after a pause of the machine
 		paused atomic.Bool // as slow; responses of the store are read when this ends too
-		fleet  *fleet
+		mute   atomic.Bool // responses of the store are lost; their connections return nothing further
+		// muteWatches is mute for watch calls alone.
+		muteWatches atomic.Bool
+		fleet       *fleet
 		// configWatches is the number of watch calls for the configuration.
 		configWatches atomic.Int32
 		watched       atomic.Bool // the host has called the store for the upstreams since the last reset
@@ -122,6 +125,9 @@
 
 func (h *fleetHost) dial(ctx context.Context, addr string) (*link.Conn, error) {
 	i := slices.IndexFunc(h.fleet.hosts, func(o *fleetHost) bool { return o.name == addr })
+	if i < 0 {
+		return nil, errNoConnection
+	}
 	other := h.fleet.hosts[i]
 	if h.silent.Load() || other.silent.Load() {
 		select {
@@ -161,6 +167,10 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
 	defer cancel()
 	events, as, err := h.Store.Watch(ctx, prefix, after, wait)
+	if h.mute.Load() || h.muteWatches.Load() {
+		<-ctx.Done()
+		return nil, store.Version{}, store.ErrOutcomeUnknown
+	}
 	for h.paused.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -193,7 +203,7 @@
 }
 
 func (h *fleetHost) Renew(ctx context.Context, l store.Lease) error {
-	if h.isolated() {
+	if h.isolated() || h.mute.Load() {
 		<-ctx.Done()
 		return store.ErrOutcomeUnknown
 	}
@@ -202,7 +212,7 @@
 
 // connect waits for a connection to the store, which an isolated host does not get.
 func (h *fleetHost) connect() error {
-	if !h.isolated() {
+	if !h.isolated() && !h.mute.Load() {
 		return nil
 	}
 	time.Sleep(testDialTime)
