--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -154,16 +154,16 @@
 	}
 }
 
-// Behind reports whether another host has stated an item that is newer than this host's copy, which is complete as of a
-// version.
+// Behind reports whether another host has stated an item that is newer than this host's copy, which is complete as of
+// a version.
 func (c *Copy) Behind(own store.Version) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return own.Compare(c.missing) < 0
 }
 
-// Missed reports whether a watch call of this host, whose copy is complete as of a version, has been waiting for so long
-// since another host stated a newer item that its response must be lost.
+// Missed reports whether a watch call of this host, whose copy is complete as of a version, has been waiting for so
+// long since another host stated a newer item that its response must be lost.
 func (c *Copy) Missed(sent, now time.Duration, own store.Version) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/host/confirm.go
+++ b/internal/host/confirm.go
@@ -37,10 +37,10 @@
 	return sc.age.Enabled() && (sc.age.Lapsed(sc.now()) || sc.isSource != nil && sc.isSource())
 }
 
-// callWatch makes a watch call. The store may have lost its response, while the connection stays open. So the call ends
-// with errOutageEnded when other calls are answered again, and one for the configuration with fresh.ErrMissed when
-// another host has a newer item. One with a long wait also ends with fresh.ErrConfirmNow when the store must confirm the
-// configuration sooner.
+// callWatch makes a watch call. The store may have lost its response, while the connection stays open. So the call
+// ends with errOutageEnded when other calls are answered again, and one for the configuration with fresh.ErrMissed
+// when another host has a newer item. One with a long wait also ends with fresh.ErrConfirmNow when the store must
+// confirm the configuration sooner.
 func (sc *storeCache) callWatch(
 	ctx context.Context, prefix string, after store.Version, wait time.Duration,
 ) ([]store.Event, store.Version, error) {
