Take streams of a split route up at the service that began them

Cause: a record of a stream said its software version but not its service, and the service was drawn again for the take-up.

Change: a record says service and version, once for all that take streams up, and the scheduler goes by it before it looks at anything else. The grant names the service, which further attempts go by. Calls are drawn by a hash of their id and take-ups by that of the attempt that they name, so a host without a record looks at the service that began the stream while the split is the same. Why it works: no part of what began a stream is drawn again.

Hosts of both forms: an earlier release ignores the new fields of records and grants. Its records name no service; their take-ups are looked for at the service that is drawn, as before, and they never replace a record that names one. In the store it is the same.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -29,6 +29,7 @@
 type upstream struct {
 	id         string // of the engine in its grants; empty is e
 	software   string // version of the engine in its grants
+	service    string // of the engine in its grants
 	mixed      bool   // its grants say that the service has several versions
 	addr       string
 	mu         sync.Mutex
@@ -123,7 +124,7 @@
 	e := f.engines[f.granted]
 	f.granted++
 	return sched.Decision{Kind: sched.Granted, Grant: sched.Grant{
-		Engine: cmp.Or(e.id, "e"), Addr: e.addr, Software: e.software, CheckStart: e.mixed,
+		Engine: cmp.Or(e.id, "e"), Addr: e.addr, Software: e.software, Service: e.service, CheckStart: e.mixed,
 	}}, nil
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"mime"
 	"net/http"
@@ -31,7 +32,10 @@
 // serveModel sends the call to one engine after another until its response is complete or no further attempt is
 // allowed.
 func (c *call) serveModel() {
-	c.noteTakeUp()
+	if c.hasUnknownOrigin() {
+		c.finishWithoutResponse(sched.ReasonVersionUnknown)
+		return
+	}
 	for {
 		decision, err := c.s.Tickets.RequestTicket(c.ctx, c.ticketRequest())
 		if err != nil {
@@ -46,6 +50,7 @@
 			c.delayedBy = decision.Grant.DelayedBy
 		}
 		c.grant, c.timeToGrant = decision.Grant, time.Since(c.start)
+		c.service = cmp.Or(decision.Grant.Service, c.service)
 		if !c.checkKey() {
 			c.s.Tickets.Release(decision.Grant, sched.Canceled)
 			return
@@ -62,14 +67,21 @@
 	}
 }
 
-// noteTakeUp records whether the caller takes up a stream.
+// noteTakeUp records whether the caller takes up a stream, and which.
 func (c *call) noteTakeUp() {
 	c.lastEventID = c.r.Header.Get(c.s.Headers.LastEventID)
+	c.resumes = c.r.Header.Get(c.s.Headers.Resumes)
 	if c.takesUp = c.lastEventID != "" && c.route.Kind == topo.Stream; c.takesUp {
 		c.s.Stats.CountEvent("streams_taken_up")
 	}
 }
 
+// hasUnknownOrigin reports whether the caller takes up a stream without naming it, on a route that is split over
+// several services. It may have begun at any of them.
+func (c *call) hasUnknownOrigin() bool {
+	return c.takesUp && c.resumes == "" && len(c.route.TrafficSplit) > 1
+}
+
 func (c *call) handleRejection(decision sched.Decision) {
 	c.rejection = decision
 	if c.headerSent || c.mayHaveExecuted {
@@ -84,7 +96,7 @@
 		Call: c.id, Service: c.service, Domain: c.s.Domain, Spec: c.spec, Priority: c.priority(),
 		TargetLatency: c.route.TargetLatency, Remaining: time.Until(c.deadline), Tried: c.tried,
 		GapTarget: c.route.GapTarget, FirstEventIn: time.Until(c.firstEventDeadline()),
-		Software: c.software, TakesUp: c.takesUp, Resumes: c.r.Header.Get(c.s.Headers.Resumes),
+		Software: c.software, TakesUp: c.takesUp, Resumes: c.resumes,
 		Resumable: c.route.Resumable, Workspace: c.workspaceName(), Cost: c.cost(),
 	}
 	if c.workspace != nil {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -211,7 +211,7 @@
 // servePlain sends the call to one upstream of a plain service after another until one responds or no further attempt
 // is allowed.
 func (c *call) servePlain() {
-	if c.noteTakeUp(); c.takesUp && c.s.Balancer.isMixed(c.service) {
+	if c.hasUnknownOrigin() || c.takesUp && c.s.Balancer.isMixed(c.service) {
 		c.finishWithoutResponse(sched.ReasonVersionUnknown)
 		return
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -28,6 +27,9 @@
 	"github.com/figreel/figreel/internal/topo"
 )
 
+// hashShift leaves the bits of a hash that a floating-point number holds exactly.
+const hashShift = 11
+
 // Server is the HTTP handler for calls; its exported fields are set before use.
 type Server struct {
 	Headers     Headers
@@ -112,6 +114,7 @@
 	headerSent       bool // the response header has been sent to the caller
 	lastEventID      string
 	takesUp          bool           // the caller takes a stream up
+	resumes          string         // id of the attempt that began it, or empty
 	software         string         // software version whose events the caller has, empty before the first one
 	delayedBy        string         // why no upstream took the call at first
 	rejection        sched.Decision // of the scheduler; the zero value if it rejected no attempt
@@ -236,7 +239,7 @@
 }
 
 func (c *call) prepare(cfg *topo.Config) bool {
-	c.service = c.route.PickService(rand.Float64())
+	c.drawService()
 	c.header = forwardedHeader(c.r.Header, c.s.Headers)
 	c.deadline = c.start.Add(c.route.Timeout)
 	if v := c.r.Header.Get(c.s.Headers.Deadline); v != "" {
@@ -261,6 +264,18 @@
 	return true
 }
 
+// drawService draws the service of the call from those of its route, by the id of the call. A take-up is drawn by the
+// id of the attempt that began the stream, so any host draws the service that it began at, unless the split has
+// changed.
+func (c *call) drawService() {
+	c.noteTakeUp()
+	id := c.id
+	if c.takesUp && c.resumes != "" {
+		id = c.resumes
+	}
+	c.service = c.route.PickService(float64(xxhash.Sum64String(id)>>hashShift) / (1 << (64 - hashShift)))
+}
+
 // requestHash returns what identifies a request that comes again. Headers are left out, because some differ each time,
 // and so is the address of the caller, who may come from another one.
 func requestHash(r *http.Request, body []byte) uint64 {
@@ -363,7 +378,7 @@
 		e = e.Str("hedge_refused", c.hedgeRefused)
 	}
 	if c.takesUp {
-		e = e.Str("resumes", c.r.Header.Get(c.s.Headers.Resumes))
+		e = e.Str("resumes", c.resumes)
 	}
 	if c.grant.Software != "" {
 		e = e.Str("software", c.grant.Software)
--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -149,3 +150,50 @@
 		})
 	}
 }
+
+// Guards against a take-up at a split route that is sent to another service than the one that began the stream: by a
+// host that has no record of it, or after an attempt that went elsewhere than it was drawn for.
+func TestServiceOfTakeUp(t *testing.T) {
+	const calls = 40
+	cfg := config(topo.Stream, true, 2)
+	cfg.Services["other"] = cfg.Services["llm"]
+	cfg.Routes[1].TrafficSplit = []topo.WeightedService{{Service: "llm", Weight: 1}, {Service: "other", Weight: 1}}
+	srv, tk := newServer(t, cfg, nil, nil, 5)
+	drawn := make(map[string]int)
+	for i := range calls {
+		id := fmt.Sprint("call ", i)
+		for _, header := range [][]string{
+			{"X-Id", id},
+			{"X-Id", "take-up of " + id, "X-Resumes", id, "Last-Event-Id", "3"},
+		} {
+			if _, _, _, err := send(t, srv.URL, "/m/x", "body", header...); err != nil {
+				t.Fatal(err)
+			}
+		}
+		began, takeUp := tk.requests[2*i].Service, tk.requests[2*i+1].Service
+		if drawn[began]++; began != takeUp {
+			t.Errorf("%s began at %s and is taken up at %s", id, began, takeUp)
+		}
+	}
+	if drawn["llm"] < calls/5 || drawn["other"] < calls/5 {
+		t.Errorf("calls are drawn %v", drawn)
+	}
+	before := len(tk.requests)
+	if status, body, _, err := send(t, srv.URL, "/m/x", "", "Last-Event-Id", "3"); err != nil || status != 503 {
+		t.Errorf("take-up that names no attempt: status %d %q, %v, want 503", status, body, err)
+	}
+	if n := len(tk.requests) - before; n != 0 {
+		t.Errorf("%d ticket requests for it", n)
+	}
+	for _, service := range []string{"llm", "other"} {
+		first := newUpstream(t, join(sseHeader, chunk(event("4")))+"RESET")
+		first.service = service
+		srv, tk := newServer(t, cfg, nil, []*upstream{first, newUpstream(t, join(sseHeader, chunk(event("5")), "0\n\n"))}, 5)
+		if _, _, _, err := send(t, srv.URL, "/m/x", "", "X-Resumes", "a", "Last-Event-Id", "3"); err != nil {
+			t.Fatal(err)
+		}
+		if got := tk.requests[1].Service; got != service {
+			t.Errorf("the second attempt is for %s, the first was granted at %s", got, service)
+		}
+	}
+}
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -131,8 +131,8 @@
 func (s *ticketService) lookUpFor(f *follower, req sched.Request, unknown sched.Decision) {
 	ctx, cancel := context.WithTimeout(context.Background(), req.Remaining)
 	defer cancel()
-	software, err := s.findSoftware(ctx, &req)
-	if software == "" {
+	found, err := s.findOrigin(ctx, &req)
+	if !found {
 		unknown.Final = err == nil
 		s.reply(f, unknown)
 		return
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -381,13 +382,11 @@
 	return r, nil
 }
 
-// softwareOf returns the software version that began the stream of an attempt, or an empty string if this host does not
-// know it.
-func (s *ticketService) softwareOf(id string) string {
+// originOf returns what began the stream of an attempt, and false if this host does not know it.
+func (s *ticketService) originOf(id string) (vers.Version, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	software, _ := s.scheduler.Streams.Lookup(id)
-	return software
+	return s.scheduler.Streams.Lookup(id)
 }
 
 // needsLookup reports whether a call was rejected for a stream that the scheduler does not know, while the store may
@@ -396,33 +395,35 @@
 	return s.streams != nil && d.Reason == sched.ReasonVersionUnknown && !d.Final
 }
 
-// findSoftware finds the software version that began the stream of a call that the scheduler does not know, and sets it
-// in the call, whose remaining time it reduces by its own. It returns an empty string if nobody knows the version. If
-// the store knows of only one version in service, and lists no other one now, it is that one. A host that cannot read
-// the store does not know that, however new its list is; it gets an error.
-func (s *ticketService) findSoftware(ctx context.Context, req *sched.Request) (string, error) {
+// findOrigin finds what began the stream of a call that the scheduler does not know, and sets it in the call, whose
+// remaining time it reduces by its own. It returns false if nobody knows it. If the store knows of only one version in
+// service, and lists no other one now, it is that one. A host that cannot read the store does not know that, however
+// new its list is; it gets an error.
+func (s *ticketService) findOrigin(ctx context.Context, req *sched.Request) (bool, error) {
 	start := time.Now()
-	software, err := s.streams.find(ctx, req)
-	s.log.Info().Err(err).Str("call", req.Call).Str("resumes", req.Resumes).Str("software", software).
-		Bool("found", software != "").Dur("took_ms", time.Since(start)).Msg("software version of a stream looked up")
-	req.Software = software
+	origin, err := s.streams.find(ctx, req)
+	found := origin.Software != ""
+	s.log.Info().Err(err).Str("call", req.Call).Str("resumes", req.Resumes).Str("service", origin.Service).
+		Str("software", origin.Software).Bool("found", found).Dur("took_ms", time.Since(start)).
+		Msg("software version of a stream looked up")
+	req.SetOrigin(origin)
 	req.Remaining -= time.Since(start)
-	return software, err
+	return found, err
 }
 
-// find is findSoftware without the changes of the call.
-func (s *streamStore) find(ctx context.Context, req *sched.Request) (string, error) {
+// find is findOrigin without the changes of the call. The software version is empty if nobody knows it.
+func (s *streamStore) find(ctx context.Context, req *sched.Request) (vers.Version, error) {
 	r, err := s.reads.Do(ctx)
-	if software := s.tickets.softwareOf(req.Resumes); software != "" {
-		return software, nil
+	if origin, ok := s.tickets.originOf(req.Resumes); ok {
+		return origin, nil
 	}
 	if err != nil || len(r.mixed[req.Service]) > 0 || s.onlyVersion(req.Service) == "" {
-		return "", err
+		return vers.Version{}, err
 	}
 	if _, err := s.refreshes.Do(ctx); err != nil {
-		return "", err
+		return vers.Version{}, err
 	}
-	return s.onlyVersion(req.Service), nil
+	return vers.Version{Service: req.Service, Software: s.onlyVersion(req.Service)}, nil
 }
 
 // onlyVersion returns the software version of a service that this host knows, or an empty string if there is not just
@@ -442,7 +443,8 @@
 	current := s.isCurrent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	versions := s.scheduler.Streams.Versions(time.Now(), req.Service)
+	service := cmp.Or(decision.Grant.Service, req.Service)
+	versions := s.scheduler.Streams.Versions(time.Now(), service)
 	decision.Grant.CheckStart = req.Resumable && (len(versions) > 1 || !current)
 	return decision
 }
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -112,8 +112,8 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the
 // scheduler does not know the software version that began the stream of the call, it is looked up in the store.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
-	if req.TakesUp && req.Software == "" {
-		req.Software = s.softwareOf(req.Resumes)
+	if origin, ok := s.originOf(req.Resumes); ok && req.TakesUp && req.Software == "" {
+		req.SetOrigin(origin)
 	}
 	start := time.Now()
 	decision, err := s.requestTicket(ctx, req)
@@ -121,7 +121,7 @@
 		return s.noteStartCheck(&req, decision), err
 	}
 	req.Remaining -= time.Since(start)
-	if software, _ := s.findSoftware(ctx, &req); software == "" {
+	if found, _ := s.findOrigin(ctx, &req); !found {
 		return decision, nil
 	}
 	decision, err = s.requestTicket(ctx, req)
@@ -161,7 +161,9 @@
 	if t := s.openTickets[g.Ticket]; t != nil {
 		t.FirstEvent = true
 		if t.Request.BeginsStream() {
-			begun := vers.Record{Stream: vers.Stream(t.Request.Call), Software: s.scheduler.SoftwareOf(g)}
+			begun := vers.Record{
+				Stream: vers.Stream(t.Request.Call), Software: s.scheduler.SoftwareOf(g), Service: t.Request.Service,
+			}
 			s.scheduler.Streams.Begin(time.Now(), begun)
 			m.Streams = append(m.Streams, begun)
 		}
@@ -405,6 +407,9 @@
 				s.releaseAtLeader(leader, decision.Grant)
 				return sched.Decision{Kind: sched.Granted}, false, nil
 			}
+			if decision.Grant.Service != "" {
+				req.Service = decision.Grant.Service
+			}
 			s.restore(req, decision)
 			return decision, true, nil
 		case <-timer.C:
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -298,7 +298,7 @@
 	return Decision{Kind: Granted, Call: p.Call, Grant: Grant{
 		Ticket: t.id, Engine: e.ID, Addr: e.Addr, Boot: e.Boot,
 		PrefillTokens: t.prefillTokens, PrefillTime: e.prefillBacklog(now), Streams: streams,
-		Probe: p.probe, DelayedBy: p.delayedBy, Software: e.Software,
+		Probe: p.probe, DelayedBy: p.delayedBy, Software: e.Software, Service: e.Service,
 		Speed: 1 / e.speed.Slowness(now), TokenCost: p.tokenCost, BaseCost: s.speeds.Cost(p.Service, ""),
 	}}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -292,17 +292,17 @@
 
 // schedule decides on a call that has been charged.
 func (s *Scheduler) schedule(now time.Time, q Request, charged quota.Receipt) Decision {
-	if s.models[q.modelKey()] == nil {
-		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
-	}
 	if q.TakesUp && q.Software == "" {
-		software, ok := s.Streams.Lookup(q.Resumes)
+		origin, ok := s.Streams.Lookup(q.Resumes)
 		if !ok {
 			return Decision{
 				Kind: Rejected, Call: q.Call, Reason: ReasonVersionUnknown, RetryAfter: unknownRetryAfter,
 			}
 		}
-		q.Software = software
+		q.SetOrigin(origin)
+	}
+	if s.models[q.modelKey()] == nil {
+		return Decision{Kind: Rejected, Call: q.Call, Reason: ReasonUnknownModel, RetryAfter: minRetryAfter}
 	}
 	if len(q.Tried) == 0 {
 		s.addDemand(now, &q)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/figreel/figreel/internal/quota"
 	"github.com/figreel/figreel/internal/topo"
+	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
@@ -67,7 +68,7 @@
 	// Request is a ticket request: a call that needs an engine.
 	Request struct {
 		Call          string        `cbor:"1,keyasint"`
-		Service       string        `cbor:"2,keyasint"`
+		Service       string        `cbor:"2,keyasint"` // drawn by the host; a stream goes on where it began
 		Domain        string        `cbor:"3,keyasint"` // failure domain of the host that received the call
 		Spec          topo.CallSpec `cbor:"4,keyasint"`
 		Priority      int           `cbor:"5,keyasint"`           // 0 is the most urgent
@@ -145,6 +146,8 @@
 		Speed     float64       `cbor:"12,keyasint,omitempty"`
 		TokenCost time.Duration `cbor:"13,keyasint,omitempty"`
 		BaseCost  time.Duration `cbor:"14,keyasint,omitempty"`
+		// Service is the service of the engine; empty in a grant of a host of an earlier release.
+		Service string `cbor:"15,keyasint,omitempty"`
 	}
 
 	// OpenTicket is a ticket that another scheduler granted and that has not ended.
@@ -228,6 +231,14 @@
 // BeginsStream reports whether the first event of the response begins a stream that can be taken up.
 func (q *Request) BeginsStream() bool { return q.Resumable && !q.TakesUp && q.Software == "" }
 
+// SetOrigin makes the call go on at what began its stream.
+func (q *Request) SetOrigin(v vers.Version) {
+	q.Software = v.Software
+	if v.Service != "" {
+		q.Service = v.Service
+	}
+}
+
 // modelKey returns the service and model that the call requests.
 func (q *Request) modelKey() modelKey { return modelKey{q.Service, q.Spec.Model} }
 
--- a/internal/vers/bench_test.go
+++ b/internal/vers/bench_test.go
@@ -15,7 +15,7 @@
 	t := &vers.Table{Life: time.Hour}
 	now := time.Now()
 	for range fleetRecords {
-		t.Learn(now, vers.Record{Stream: rand.Uint64(), Software: "v1"})
+		t.Learn(now, vers.Record{Stream: rand.Uint64(), Software: "v1", Service: "contract-draft"})
 	}
 	return t
 }
--- a/internal/vers/table.go
+++ b/internal/vers/table.go
@@ -14,10 +14,15 @@
 const minRetention = 10 * time.Second
 
 type (
-	// Record says which software version began a stream.
+	// Version is a software version of a service.
+	Version struct{ Service, Software string }
+
+	// Record says which software version of which service began a stream.
 	Record struct {
 		Stream   uint64 `cbor:"1,keyasint"` // see Stream
 		Software string `cbor:"2,keyasint"`
+		// Service is empty in records of hosts of earlier releases.
+		Service string `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Table holds the records and the versions in service that one host knows; its zero value is empty.
@@ -28,16 +33,15 @@
 		// Records are kept in two generations, so that the older half can be dropped at once.
 		recent, old map[uint64]entry
 		rotatedAt   time.Time
-		listed      map[version]bool
-		lastSeen    map[version]time.Time // when a version was last known to be in service
+		listed      map[Version]bool
+		lastSeen    map[Version]time.Time // when a version was last known to be in service
+		origins     map[Version]*Version  // one copy of each version in the recent records
 	}
 
-	version struct{ service, software string }
-
 	entry struct {
-		software string
-		own      bool // this host answers for the record
-		saved    bool
+		origin *Version
+		own    bool // this host answers for the record
+		saved  bool
 	}
 )
 
@@ -61,17 +65,23 @@
 	}
 }
 
-// put adds a record; the version that began a stream never changes.
+// put adds a record. What began a stream never changes, but a record may lack the service.
 func (t *Table) put(now time.Time, r Record, e entry) {
 	if now.Sub(t.rotatedAt) >= t.Retention() {
 		t.recent, t.old = make(map[uint64]entry), t.recent
+		t.origins = make(map[Version]*Version)
 		t.rotatedAt = now
 	}
-	known, ok := t.lookup(r.Stream)
-	if ok {
-		e = entry{software: known.software, own: known.own || e.own, saved: known.saved || e.saved}
-	} else {
-		e.software = r.Software
+	origin := Version{r.Service, r.Software}
+	if known, ok := t.lookup(r.Stream); ok {
+		e.own, e.saved = known.own || e.own, known.saved || e.saved
+		if known.origin.Service != "" || origin.Service == "" || known.origin.Software != origin.Software {
+			origin = *known.origin
+		}
+	}
+	if e.origin = t.origins[origin]; e.origin == nil {
+		e.origin = &Version{origin.Service, origin.Software}
+		t.origins[origin] = e.origin
 	}
 	t.recent[r.Stream] = e
 }
@@ -84,10 +94,14 @@
 	return e, ok
 }
 
-// Lookup returns the software version that began the stream of an attempt, and false if it is not known.
-func (t *Table) Lookup(id string) (software string, ok bool) {
+// Lookup returns what began the stream of an attempt, and false if it is not known. The service is empty if only the
+// software version is known.
+func (t *Table) Lookup(id string) (Version, bool) {
 	e, ok := t.lookup(Stream(id))
-	return e.software, ok
+	if !ok {
+		return Version{}, false
+	}
+	return *e.origin, true
 }
 
 // Own returns the records that Begin has added.
@@ -106,7 +120,7 @@
 	for _, m := range []map[uint64]entry{t.recent, t.old} {
 		for stream, e := range m {
 			if want(e) {
-				out = append(out, Record{Stream: stream, Software: e.software})
+				out = append(out, Record{Stream: stream, Software: e.origin.Software, Service: e.origin.Service})
 			}
 		}
 	}
@@ -134,29 +148,29 @@
 	for v := range t.listed {
 		t.setInService(now, v)
 	}
-	t.listed = make(map[version]bool)
+	t.listed = make(map[Version]bool)
 	for _, u := range list {
-		v := version{u.Service, u.Software}
+		v := Version{u.Service, u.Software}
 		t.listed[v] = true
 		t.setInService(now, v)
 	}
-	maps.DeleteFunc(t.lastSeen, func(v version, _ time.Time) bool { return !t.matters(now, v) })
+	maps.DeleteFunc(t.lastSeen, func(v Version, _ time.Time) bool { return !t.matters(now, v) })
 }
 
 // SetInService records that a version of a service was in service just now.
 func (t *Table) SetInService(now time.Time, service, software string) {
-	t.setInService(now, version{service, software})
+	t.setInService(now, Version{service, software})
 }
 
-func (t *Table) setInService(now time.Time, v version) {
+func (t *Table) setInService(now time.Time, v Version) {
 	if t.lastSeen == nil {
-		t.lastSeen = make(map[version]time.Time)
+		t.lastSeen = make(map[Version]time.Time)
 	}
 	t.lastSeen[v] = now
 }
 
 // matters reports whether streams of a version may still be taken up.
-func (t *Table) matters(now time.Time, v version) bool {
+func (t *Table) matters(now time.Time, v Version) bool {
 	return t.listed[v] || now.Sub(t.lastSeen[v]) <= t.Retention()
 }
 
@@ -164,8 +178,8 @@
 func (t *Table) Versions(now time.Time, service string) []string {
 	var out []string
 	for v := range t.lastSeen {
-		if v.service == service && t.matters(now, v) {
-			out = append(out, v.software)
+		if v.Service == service && t.matters(now, v) {
+			out = append(out, v.Software)
 		}
 	}
 	slices.Sort(out)
@@ -176,8 +190,8 @@
 func (t *Table) Mixed(now time.Time) map[string][]string {
 	out := make(map[string][]string)
 	for v := range t.lastSeen {
-		if list := t.Versions(now, v.service); len(list) > 1 {
-			out[v.service] = list
+		if list := t.Versions(now, v.Service); len(list) > 1 {
+			out[v.Service] = list
 		}
 	}
 	return out
--- a/internal/vers/table_test.go
+++ b/internal/vers/table_test.go
@@ -88,7 +88,7 @@
 	tb.Load(start, vers.Record{Stream: vers.Stream("c"), Software: "v1"})
 	check := func(id, want string) {
 		t.Helper()
-		if got, ok := tb.Lookup(id); got != want || ok != (want != "") {
+		if got, ok := tb.Lookup(id); got.Software != want || ok != (want != "") {
 			t.Errorf("stream of %s: version %q, %v, want %q", id, got, ok, want)
 		}
 	}
@@ -121,3 +121,22 @@
 	check("e", "v1")
 	check("f", "v1")
 }
+
+// Guards against a record of a host of an earlier release, which names no service, that takes the place of one that does,
+// or is not completed by it.
+func TestRecordsWithoutService(t *testing.T) {
+	with := vers.Record{Stream: vers.Stream("a"), Software: "v1", Service: "llm"}
+	without := vers.Record{Stream: vers.Stream("a"), Software: "v1"}
+	for _, list := range [][]vers.Record{{with, without}, {without, with}, {with}} {
+		tb := vers.Table{Life: life}
+		for _, r := range list {
+			tb.Learn(time.Now(), r)
+		}
+		if got, _ := tb.Lookup("a"); got != (vers.Version{Service: "llm", Software: "v1"}) {
+			t.Errorf("%+v after %+v", got, list)
+		}
+		if got := tb.Unsaved(); len(got) != 1 || got[0] != with {
+			t.Errorf("records to save %+v", got)
+		}
+	}
+}
