Note the single version of a service for hosts that forget all streams

Cause: the store had nothing of a service with one version, so "one version, no records needed" and "nobody has written" looked the same to hosts that had just started. A list of upstreams that is read after the loss has the second version already.

Change: the leader notes the version of each service with engines, one key a service, written when it changes (internal/verkv). A host that starts, and one that becomes leader, reads the notes once and goes by a single version for streams that nobody knows, for as long as streams of before can last; followers tell a new leader. A leader notes a single version only if it knows that there was no other. The note bears the era of the store, is removed by hosts that see a second version without a leader, and hosts that lose their leader beside a second version go by it no longer. Why it works: before the note was replaced no other version had begun a stream.

Hosts of both forms: an earlier release ignores the note. As the leader it takes it for records that it cannot read, warns every 30 s, and removes it when it is older than streams last; then streams are as before until a new leader has watched for that long. The notes of several versions keep their form. The new field of Hello is ignored by an earlier release.

--- a/internal/elect/campaign.go
+++ b/internal/elect/campaign.go
@@ -73,6 +73,7 @@
 	// ordersFrom is set before the write, because its response may be lost and the watch may report the new leader
 	// first.
 	e.ordersFrom = e.takeoverTime(earlier, unknown)
+	e.firstTerm = revision == 0 && !e.era.changed && !e.HasRun
 	e.handover = handover{silent: earlier, unknown: unknown, unsettled: len(earlier) > 0 || unknown}
 	e.mu.Unlock()
 	value, err := json.Marshal(self)
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -88,6 +88,7 @@
 		currentKnown    bool                     // current was read from the store
 		vacantSince     time.Duration            // boot time at which the leader key was first seen missing
 		firstVacancy    time.Duration            // the same for the first leader whose orders may not have ended
+		firstTerm       bool                     // no host had led before this one campaigned
 		rejections      int                      // consecutive campaigns that the store has rejected
 		lastLeader      Leader                   // current or previous leader, from the leader record
 		recordRevision  int64                    // revision of the leader record, 0 if there is none
@@ -217,6 +218,13 @@
 	return e.fence != 0
 }
 
+// IsFirstLeader reports whether this host is the leader and no host had led before.
+func (e *Elector) IsFirstLeader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fence != 0 && e.firstTerm
+}
+
 // Leader returns the current leader, and false if there is none.
 func (e *Elector) Leader() (Leader, bool) {
 	e.mu.Lock()
--- a/internal/host/follower.go
+++ b/internal/host/follower.go
@@ -12,6 +12,7 @@
 func (s *ticketService) hello() *link.Message {
 	m := &link.Message{
 		Kind: link.Hello, Host: s.self, Streams: s.scheduler.Streams.Own(), Speeds: s.scheduler.Speeds(time.Now()),
+		Assumed: s.scheduler.Streams.Assumptions(time.Now()),
 	}
 	for _, t := range s.openTickets {
 		m.OpenTickets = append(m.OpenTickets, *t)
@@ -31,6 +32,7 @@
 		f.tickets[t.Grant.Ticket] = true
 	}
 	s.scheduler.Streams.Learn(time.Now(), hello.Streams...)
+	s.scheduler.Streams.Assume(time.Now(), hello.Assumed...)
 	s.scheduler.LearnSpeeds(time.Now(), hello.Speeds)
 	s.mu.Unlock()
 	s.wakeQuota()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,7 +122,7 @@
 	h.limitWorkspaces()
 	h.streams = &streamStore{
 		store: h.Platform.Store, elector: h.elector, tickets: h.tickets, stats: h.Stats, log: h.Log,
-		refresh: h.cache.refresh, knownEra: h.cache.era,
+		refresh: h.cache.refresh, knownEra: h.cache.era, first: h.elector.IsFirstLeader,
 		hosts: h.cache.hostCount, writesPerS: s.StoreWrites,
 	}
 	h.streams.init()
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -3,11 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,15 +19,15 @@
 	"github.com/figreel/figreel/internal/sched"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/store"
+	"github.com/figreel/figreel/internal/verkv"
 	"github.com/figreel/figreel/internal/vers"
 )
 
 const (
-	// streamPrefix is the prefix of the keys that say which software versions began streams. Hosts read them when they
-	// need them and do not follow them, because they change several times a second. The key of a service below
-	// mixedPrefix names its versions while there are several; the keys below recordsPrefix hold records.
+	// streamPrefix is the prefix of the keys that say what began streams: those of package verkv, and those below
+	// recordsPrefix, which hold records. Hosts read them when they need them and do not follow them, because they
+	// change several times a second.
 	streamPrefix  = "figreel-streams/"
-	mixedPrefix   = streamPrefix + "mixed/"
 	recordsPrefix = streamPrefix + "records/"
 	// saveInterval is the interval at which the leader saves new records.
 	saveInterval = 250 * time.Millisecond
@@ -47,14 +45,17 @@
 	// time between two calls of one host without a leader, for each host of the fleet.
 	lookupInterval  = 100 * time.Millisecond
 	intervalPerHost = 10 * time.Millisecond
-	// maxRecords bounds the records under one key, and maxOldKeys the keys that one transaction removes.
+	// maxRecords bounds the records under one key. maxOldKeys bounds the keys of records that one transaction removes,
+	// and maxNotes the services whose versions it changes, with two keys each at most.
 	maxRecords = 20_000
 	maxOldKeys = 20
+	maxNotes   = 5
 )
 
 type (
 	// streamStore keeps in the store which software versions began streams, so that streams can be taken up after the
-	// loss of all hosts that know it. The leader writes, and only while a service has several versions.
+	// loss of all hosts that know it. The leader writes records while a service has several versions. While it has one,
+	// the store says which, so that the streams that all hosts forget at once are known to be of that one.
 	streamStore struct {
 		store   store.Store
 		elector *elect.Elector
@@ -65,6 +66,8 @@
 		refresh func(context.Context) error
 		// knownEra returns the newest era of the store that this host knows.
 		knownEra func() int64
+		// first reports whether this host leads and no host had led before.
+		first func() bool
 		// hosts returns the number of registered hosts.
 		hosts func() int
 		// writesPerS is how many writes a second the store allows all hosts together; 0 if that is not known.
@@ -76,21 +79,22 @@
 		era      int64
 		keys     []savedKey // keys of records, oldest first
 		keySeq   int
-		failing  bool // the last call for saving failed
-		alone    bool // no leader listened at the last look
+		failing  bool            // the last call for saving failed
+		alone    bool            // no leader listened at the last look
+		dropped  map[string]bool // services for which dropNotes has nothing to do any more
 
 		reads     batch.Call[*streamRead] // of the records, which are added to those of the scheduler
 		refreshes batch.Call[struct{}]
 
-		mu     sync.Mutex
-		loaded bool                // this host leads and has read what the leaders before it have written
-		saved  map[string][]string // versions of the services as the store has them
+		mu      sync.Mutex
+		loaded  bool         // this host leads and has read what the leaders before it have written
+		notes   *verkv.Notes // as the store has them; nil if that is not known
+		assumed bool         // this process has read the notes once
 	}
 
 	// streamRead is what the store has at a time.
 	streamRead struct {
-		mixed map[string][]string // versions by service
-		era   int64
+		notes *verkv.Notes
 		keys  []string // of records
 	}
 
@@ -104,6 +108,7 @@
 // run saves new records while this host is the leader, and those of its own streams while no leader listens, until
 // ctx ends.
 func (s *streamStore) run(ctx context.Context) {
+	go s.learn(ctx)
 	for interval := saveInterval; clock.Sleep(ctx, interval); {
 		save := s.save
 		leads := s.elector.IsLeader()
@@ -138,7 +143,7 @@
 	if alone == s.alone {
 		return
 	}
-	s.alone = alone
+	s.alone, s.dropped = alone, make(map[string]bool)
 	if alone {
 		s.log.Info().Msg("no leader listens, records of streams are saved by this host")
 		return
@@ -146,17 +151,17 @@
 	s.log.Info().Msg("a leader listens again")
 }
 
-func (s *streamStore) setLoaded(loaded bool, saved map[string][]string) {
+func (s *streamStore) setLoaded(loaded bool, notes *verkv.Notes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loaded, s.saved = loaded, saved
+	s.loaded, s.notes = loaded, notes
 }
 
 // state reports whether this host leads and knows what the store has, and the versions of services in the store.
-func (s *streamStore) state() (loaded bool, saved map[string][]string) {
+func (s *streamStore) state() (loaded bool, notes *verkv.Notes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loaded, s.saved
+	return s.loaded, s.notes
 }
 
 // save brings the records in the store up to date with one transaction at most.
@@ -171,15 +176,15 @@
 	}
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
-	mixed := streams.Mixed(now)
+	versions := s.knownVersions(now)
 	var records []vers.Record
-	if len(mixed) > 0 {
+	if len(streams.Mixed(now)) > 0 {
 		records = streams.Unsaved()
 	}
 	retention := streams.Retention()
 	s.tickets.mu.Unlock()
 	records = records[:min(len(records), maxRecords)]
-	txn, err := s.transaction(now, mixed, records, retention)
+	txn, notes, err := s.transaction(now, versions, records, retention)
 	if err != nil || len(txn.Puts)+len(txn.Remove) == 0 {
 		return err
 	}
@@ -192,7 +197,7 @@
 		return err
 	}
 	s.stats.CountEvent("stream_saves")
-	s.setLoaded(true, mixed)
+	s.setLoaded(true, notes)
 	s.keys = slices.DeleteFunc(s.keys, func(k savedKey) bool { return slices.Contains(txn.Remove, k.key) })
 	s.tickets.mu.Lock()
 	s.tickets.scheduler.Streams.SetSaved(records, true)
@@ -207,11 +212,15 @@
 	defer cancel()
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
+	mixed := streams.Mixed(time.Now())
 	var records []vers.Record
-	if len(streams.Mixed(time.Now())) > 0 {
+	if len(mixed) > 0 {
 		records = streams.UnsavedOwn()
 	}
 	s.tickets.mu.Unlock()
+	if err := s.dropNotes(ctx, mixed); err != nil {
+		return err
+	}
 	if len(records) == 0 {
 		return nil
 	}
@@ -252,33 +261,22 @@
 	return recordsPrefix + s.tickets.self + "/" + s.process + "/" + strconv.Itoa(s.keySeq)
 }
 
-// transaction returns what has to be written: the versions of services, new records, and the removal of old ones.
+// transaction returns what has to be written: the versions of services, new records, and the removal of old ones. It
+// also returns the notes after that.
 func (s *streamStore) transaction(
-	now time.Time, mixed map[string][]string, records []vers.Record, retention time.Duration,
-) (store.Txn, error) {
+	now time.Time, versions map[string][]string, records []vers.Record, retention time.Duration,
+) (store.Txn, *verkv.Notes, error) {
 	txn := store.Txn{Era: s.era}
 	_, saved := s.state()
-	for service, versions := range mixed {
-		if slices.Equal(saved[service], versions) {
-			continue
-		}
-		value, err := json.Marshal(versions)
-		if err != nil {
-			return txn, errors.Wrap(err, "encode versions")
-		}
-		txn.Puts = append(txn.Puts, store.Item{Key: mixedPrefix + service, Value: value})
-		s.log.Info().Str("service", service).Strs("versions", versions).Msg("service has several software versions")
-	}
-	for service := range saved {
-		if mixed[service] == nil {
-			txn.Remove = append(txn.Remove, mixedPrefix+service)
-			s.log.Info().Str("service", service).Msg("service has one software version")
-		}
+	var notes *verkv.Notes
+	notes, txn.Puts, txn.Remove = saved.Changes(versions, maxNotes)
+	for _, it := range txn.Puts {
+		s.log.Info().Str("key", it.Key).RawJSON("versions", it.Value).Msg("software versions of a service change")
 	}
 	if len(records) > 0 {
 		value, err := cbor.Marshal(records)
 		if err != nil {
-			return txn, errors.Wrap(err, "encode records of streams")
+			return txn, nil, errors.Wrap(err, "encode records of streams")
 		}
 		txn.Puts = append(txn.Puts, store.Item{Key: s.key(), Value: value})
 	}
@@ -287,7 +285,7 @@
 			txn.Remove = append(txn.Remove, k.key)
 		}
 	}
-	return txn, nil
+	return txn, notes, nil
 }
 
 // load reads what the store has. What a new leader finds there counts as in service until now, because it does not know
@@ -298,17 +296,15 @@
 		return err
 	}
 	now := time.Now()
-	loaded, _ := s.state()
+	if loaded, _ := s.state(); !loaded {
+		s.assume(r.notes)
+	}
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
-	for service, versions := range r.mixed {
-		for _, v := range versions {
-			if !loaded {
-				streams.SetInService(now, service, v)
-			}
-		}
+	if loaded, _ := s.state(); !loaded {
+		r.notes.Each(func(service, version string) { streams.SetInService(now, service, version) })
 	}
-	if r.era != s.era {
+	if r.notes.Era != s.era {
 		streams.Forget()
 	}
 	s.tickets.mu.Unlock()
@@ -325,8 +321,8 @@
 		s.keys = append(s.keys, savedKey{key, at})
 	}
 	slices.SortFunc(s.keys, func(a, b savedKey) int { return a.at.Compare(b.at) })
-	s.era, s.loadedAt = r.era, now
-	s.setLoaded(true, r.mixed)
+	s.era, s.loadedAt = r.notes.Era, now
+	s.setLoaded(true, r.notes)
 	return nil
 }
 
@@ -357,15 +353,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &streamRead{era: as.Era, mixed: make(map[string][]string)}
+	r := &streamRead{notes: &verkv.Notes{Prefix: streamPrefix, Era: as.Era}}
 	var records []vers.Record
 	for _, it := range items {
-		if service, ok := strings.CutPrefix(it.Key, mixedPrefix); ok {
-			var versions []string
-			if err := json.Unmarshal(it.Value, &versions); err != nil {
-				s.log.Warn().Err(err).Str("key", it.Key).Msg("invalid versions of a service")
-			}
-			r.mixed[service] = versions
+		if r.notes.Add(it, s.logInvalid) {
 			continue
 		}
 		r.keys = append(r.keys, it.Key)
@@ -377,8 +368,9 @@
 		records = append(records, list...)
 	}
 	s.tickets.mu.Lock()
-	defer s.tickets.mu.Unlock()
 	s.tickets.scheduler.Streams.Load(time.Now(), records...)
+	s.tickets.mu.Unlock()
+	s.assumeOnce(r.notes)
 	return r, nil
 }
 
@@ -417,9 +409,15 @@
 	if origin, ok := s.tickets.originOf(req.Resumes); ok {
 		return origin, nil
 	}
-	if err != nil || len(r.mixed[req.Service]) > 0 || s.onlyVersion(req.Service) == "" {
+	if err != nil {
 		return vers.Version{}, err
 	}
+	if software, ok := s.assumedVersion(req.Service); ok {
+		return vers.Version{Service: req.Service, Software: software}, nil
+	}
+	if len(r.notes.Several(req.Service)) > 0 || s.onlyVersion(req.Service) == "" {
+		return vers.Version{}, nil
+	}
 	if _, err := s.refreshes.Do(ctx); err != nil {
 		return vers.Version{}, err
 	}
--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -535,6 +535,7 @@
 	err = s.readReplies(c)
 	s.mu.Lock()
 	s.leaderConn = nil
+	s.scheduler.Streams.DropAssumptions(time.Now())
 	s.quota.Unfollow(clock.SinceBoot(), link.ClosedByPeer(err))
 	for call, reply := range s.remoteReplies {
 		close(reply)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -108,6 +108,8 @@
 		Quota *quota.Message `cbor:"22,keyasint,omitempty"`
 		// Speeds holds with Hello the newest estimates of the speed of engines and the cost of models at the sender.
 		Speeds []speed.Estimate `cbor:"23,keyasint,omitempty"`
+		// Assumed holds with Hello what the sender assumes of streams without a record.
+		Assumed []vers.Assumption `cbor:"25,keyasint,omitempty"`
 		// Acked is the number of messages that the sender has received on the connection, if it acknowledges them.
 		Acked uint64 `cbor:"24,keyasint,omitempty"`
 	}
--- a/internal/sched/version.go
+++ b/internal/sched/version.go
@@ -27,6 +27,9 @@
 	return g.Software
 }
 
+// RunsModels reports whether the upstreams of a service are engines.
+func (s *Scheduler) RunsModels(service string) bool { return s.engineSpec(service) != nil }
+
 // streamLife returns how long a stream can last with all attempts of its caller.
 func streamLife(c *topo.Config) time.Duration {
 	var longest time.Duration
--- a/internal/vers/table.go
+++ b/internal/vers/table.go
@@ -36,6 +36,8 @@
 		listed      map[Version]bool
 		lastSeen    map[Version]time.Time // when a version was last known to be in service
 		origins     map[Version]*Version  // one copy of each version in the recent records
+		watchedFrom time.Time             // when the versions in service were first known, zero before
+		assumed     map[string]assumed    // by service
 	}
 
 	entry struct {
@@ -144,6 +146,9 @@
 
 // SetListed records the upstreams in service.
 func (t *Table) SetListed(now time.Time, list []*topo.Upstream) {
+	if t.watchedFrom.IsZero() {
+		t.watchedFrom = now
+	}
 	// The versions of the previous list were in service until now.
 	for v := range t.listed {
 		t.setInService(now, v)
@@ -186,16 +191,29 @@
 	return out
 }
 
-// Mixed returns the services with several versions of which streams may still be taken up, with these versions.
-func (t *Table) Mixed(now time.Time) map[string][]string {
+// InService returns the services with versions of which streams may still be taken up, with these versions.
+func (t *Table) InService(now time.Time) map[string][]string {
 	out := make(map[string][]string)
 	for v := range t.lastSeen {
-		if list := t.Versions(now, v.Service); len(list) > 1 {
-			out[v.Service] = list
+		if out[v.Service] == nil {
+			out[v.Service] = t.Versions(now, v.Service)
 		}
 	}
 	return out
 }
 
+// Mixed returns the services with several versions of which streams may still be taken up, with these versions.
+func (t *Table) Mixed(now time.Time) map[string][]string {
+	out := t.InService(now)
+	maps.DeleteFunc(out, func(_ string, versions []string) bool { return len(versions) <= 1 })
+	return out
+}
+
+// IsComplete reports whether the versions in service have been known for so long that no other version began a stream
+// that may still be taken up.
+func (t *Table) IsComplete(now time.Time) bool {
+	return !t.watchedFrom.IsZero() && now.Sub(t.watchedFrom) > t.Retention()
+}
+
 // Retention returns how long records are kept at least.
 func (t *Table) Retention() time.Duration { return max(t.Life, minRetention) }
--- a/internal/vers/table_test.go
+++ b/internal/vers/table_test.go
@@ -20,8 +20,8 @@
 	return out
 }
 
-// Guards against a version that is forgotten while its streams may still be taken up, and against one that is remembered
-// for ever, because all take-ups of unknown streams would be rejected.
+// Guards against a version that is forgotten while its streams may still be taken up, and against one that is
+// remembered for ever, because all take-ups of unknown streams would be rejected.
 func TestVersions(t *testing.T) {
 	type step struct {
 		at      time.Duration
@@ -122,8 +122,8 @@
 	check("f", "v1")
 }
 
-// Guards against a record of a host of an earlier release, which names no service, that takes the place of one that does,
-// or is not completed by it.
+// Guards against a record of a host of an earlier release, which names no service, that takes the place of one that
+// does, or is not completed by it.
 func TestRecordsWithoutService(t *testing.T) {
 	with := vers.Record{Stream: vers.Stream("a"), Software: "v1", Service: "llm"}
 	without := vers.Record{Stream: vers.Stream("a"), Software: "v1"}
@@ -140,3 +140,42 @@
 		}
 	}
 }
+
+// Guards against an assumption about streams without records that is kept when it may be wrong: for too long, after it
+// was contradicted, or after a host was lost beside a second version.
+func TestAssumptions(t *testing.T) {
+	start := time.Now()
+	const short = time.Second
+	v1 := vers.Assumption{Service: "llm", Software: "v1"}
+	aged := vers.Assumption{Service: "llm", Software: "v1", AgeMS: (life - short).Milliseconds()}
+	for _, tt := range []struct {
+		name   string
+		listed []string
+		made   []vers.Assumption
+		lost   bool // a host is lost
+		after  time.Duration
+		want   string
+	}{
+		{"made", []string{"v1", "v2"}, []vers.Assumption{v1}, false, life, "v1"},
+		{"too old", []string{"v1", "v2"}, []vers.Assumption{v1}, false, life + 1, ""},
+		{"of another host", []string{"v1", "v2"}, []vers.Assumption{aged}, false, short, "v1"},
+		{"of another host, too old", []string{"v1", "v2"}, []vers.Assumption{aged}, false, short + 1, ""},
+		{"made again", []string{"v1", "v2"}, []vers.Assumption{v1, aged}, false, life, "v1"},
+		{"contradicted", []string{"v1", "v2"}, []vers.Assumption{v1, {Service: "llm", Software: "v2"}}, false, 0, ""},
+		{"host lost", []string{"v1", "v2"}, []vers.Assumption{v1}, true, 0, ""},
+		{"host lost while one version serves", []string{"v1"}, []vers.Assumption{v1}, true, 0, "v1"},
+		{"other service", []string{"v1"}, []vers.Assumption{{Service: "other", Software: "v1"}}, false, 0, ""},
+	} {
+		tb := vers.Table{Life: life}
+		tb.SetListed(start, listed(tt.listed...))
+		for _, a := range tt.made {
+			tb.Assume(start, a)
+		}
+		if tt.lost {
+			tb.DropAssumptions(start)
+		}
+		if got, ok := tb.Assumed(start.Add(tt.after), "llm"); got != tt.want || ok != (got != "") {
+			t.Errorf("%s: %q, %v, want %q", tt.name, got, ok, tt.want)
+		}
+	}
+}
