--- a/internal/host/assume_test.go
+++ b/internal/host/assume_test.go
@@ -96,12 +96,12 @@
 		if got := note(); !strings.Contains(got, `"v1"`) {
 			t.Errorf("note of the first leader: %q", got)
 		}
+		// The first leader takes its note for written until it reads the store again.
 		s.Delete(streamPrefix + "single/llm")
 		later := streamTickets(s, "v1")
 		later.elector = leader.elector
 		later.streams.first = func() bool { return false }
 		later.streams.elector, later.streams.knownEra = leader.elector, leader.streams.knownEra
-		leader.streams.elector = testTickets().elector
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go later.streams.run(ctx)
