Keep the slot of an adapter until the engine has unloaded it

Cause: an engine that still runs a call with an adapter answers its unload with 202, to be carried out when the run ends. That answer and 200, the adapter is gone, were one result, and freed the slot; the load followed 1 ms later. That no ticket is open for an adapter does not say that no run uses it: engines may finish runs whose callers have left.

Change: the two answers are told apart. After 202 the adapter keeps its slot and memory and gets no calls until a report no longer names it, as models always did; the engine is asked each 150 ms meanwhile. The waiting call may use another engine, or the slot when it is free. Why it works: what is free follows from what the engine says is so, and no longer from what it was asked to do.

Cost: 7 reports a second instead of 1 from an engine with such an adapter, nothing at the store.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -22,8 +22,8 @@
 	// planInterval is the interval between two placement plans.
 	planInterval = 100 * time.Millisecond
 	// reportInterval is the interval between two status reports of an engine. busyReportInterval replaces it while a
-	// model is being loaded or unloaded, or while it is not known what is resident. An order that no report confirms
-	// counts as ended after reportInterval.
+	// model is being loaded or unloaded, while an adapter waits for its runs to be unloaded, or while it is not known
+	// what is resident. An order that no report confirms counts as ended after reportInterval.
 	reportInterval     = time.Second
 	busyReportInterval = 150 * time.Millisecond
 	// reportTimeout and orderTimeout are the timeouts of one call to an engine.
@@ -114,7 +114,7 @@
 		st.mu.Lock()
 		maxAge := reportInterval
 		_, known := st.resident.Sequence()
-		if st.loading != "" || st.unloading != "" || !known {
+		if st.loading != "" || st.unloading != "" || !known || st.resident.IsUnloadingAdapters() {
 			maxAge = busyReportInterval
 		}
 		held := r.tickets.notices.HoldWait(now, st.up.Instance()) > 0
@@ -296,11 +296,18 @@
 	}
 }
 
-// loadAdapter unloads the adapter to evict, if there is one, and loads the requested one.
+// loadAdapter unloads the adapter to evict, if there is one, and loads the requested one if that has freed a slot.
+// While the engine still runs a call with the adapter to evict, because it does not notice that callers leave, the
+// call for the requested one may wait for that slot or use another engine.
 func (r *reconciler) loadAdapter(ctx context.Context, st *engineState, load sched.AdapterLoad) {
 	if load.EvictAdapter != "" {
 		result := r.send(ctx, st, topo.Order{Unload: true, Model: load.EvictModel, Adapter: load.EvictAdapter})
-		if result != topo.OrderAccepted {
+		if result == topo.OrderAccepted {
+			r.stats.CountEvent("adapter_in_use")
+			r.log.Info().Str("upstream", load.Engine).Str("model", load.EvictModel).Str("adapter", load.EvictAdapter).
+				Str("for", load.Adapter).Msg("adapter is unloaded when its runs have ended")
+		}
+		if result != topo.OrderNoChange {
 			r.adapterFailed(load)
 			return
 		}
@@ -315,7 +322,8 @@
 }
 
 // send sends one order. It carries the number of orders that the engine has accepted so far, so that the engine rejects
-// a copy that arrives later.
+// a copy that arrives later. Of an order to unload an adapter, topo.OrderNoChange says that the adapter is gone, and
+// topo.OrderAccepted that it goes when its runs have ended.
 func (r *reconciler) send(ctx context.Context, st *engineState, o topo.Order) topo.OrderResult {
 	st.orderMu.Lock()
 	defer st.orderMu.Unlock()
@@ -349,22 +357,20 @@
 	r.log.Info().Err(err).Str("upstream", up.ID).Bool("unload", o.Unload).Str("model", o.Model).
 		Str("adapter", o.Adapter).Int64("expected", o.ExpectedSequence).Int64("token", o.Fence).
 		Uint8("result", uint8(result)).Dur("took_ms", time.Since(start)).Msg("order sent")
-	if result == topo.OrderNoChange && o.Adapter != "" && o.Unload {
-		// An engine unloads an unused adapter immediately, so this result also means that the order took effect.
-		result = topo.OrderAccepted
-	}
+	// An engine unloads an unused adapter immediately, so this result also means that the order took effect.
+	accepted := result == topo.OrderAccepted || result == topo.OrderNoChange && o.Adapter != "" && o.Unload
 	st.mu.Lock()
 	st.pendingOrders--
-	if result == topo.OrderAccepted {
-		st.resident.ApplyOrder(&o)
+	if accepted {
+		st.resident.ApplyOrder(&o, result)
 	} else {
 		st.resident.Invalidate()
 		st.polledAt = time.Time{}
 	}
 	st.mu.Unlock()
-	if result == topo.OrderAccepted {
+	if accepted {
 		r.tickets.withScheduler(func(now time.Time, k *sched.Scheduler) {
-			k.OrderAccepted(now, up.ID, &o, o.ExpectedSequence+1)
+			k.OrderAccepted(now, up.ID, &o, o.ExpectedSequence+1, result)
 		})
 	}
 	return result
--- a/internal/resid/resid.go
+++ b/internal/resid/resid.go
@@ -1,6 +1,8 @@
 package resid
 
 import (
+	"maps"
+
 	"github.com/figreel/figreel/internal/topo"
 )
 
@@ -11,6 +13,7 @@
 		known    bool
 		models   map[string]bool
 		adapters map[topo.Adapter]bool
+		leaving  map[topo.Adapter]bool // adapters that the engine unloads when their runs have ended
 	}
 )
 
@@ -34,24 +37,37 @@
 	}
 	s.sequence, s.known = r.Sequence, true
 	s.models, s.adapters = models, adapters
+	maps.DeleteFunc(s.leaving, func(a topo.Adapter, _ bool) bool { return !adapters[a] })
 	return true
 }
 
+// IsUnloadingAdapters reports whether adapters still take their slots although orders to unload them were accepted.
+func (s *Set) IsUnloadingAdapters() bool { return len(s.leaving) > 0 }
+
 // Invalidate discards the state after an order whose outcome is not known.
 func (s *Set) Invalidate() { s.known = false }
 
-// ApplyOrder records an order that the engine accepted.
-func (s *Set) ApplyOrder(o *topo.Order) {
+// ApplyOrder records an order that the engine accepted. The result is topo.OrderNoChange for an unload that took
+// effect at once, as only those of adapters do. Any other waits for the runs that use the model or adapter, also for
+// those whose callers have left.
+func (s *Set) ApplyOrder(o *topo.Order, result topo.OrderResult) {
 	s.sequence = o.ExpectedSequence + 1
+	a := topo.Adapter{Model: o.Model, Name: o.Adapter}
 	switch {
 	case o.Adapter == "" && !o.Unload:
 		s.models[o.Model] = true
 	case o.Adapter == "":
 		// The memory counts as occupied until the engine reports that the model is gone.
+	case o.Unload && result == topo.OrderNoChange:
+		delete(s.adapters, a)
 	case o.Unload:
-		delete(s.adapters, topo.Adapter{Model: o.Model, Name: o.Adapter})
+		// So do the slot and the memory of an adapter.
+		if s.leaving == nil {
+			s.leaving = make(map[topo.Adapter]bool)
+		}
+		s.leaving[a] = true
 	default:
-		s.adapters[topo.Adapter{Model: o.Model, Name: o.Adapter}] = true
+		s.adapters[a] = true
 	}
 }
 
--- a/internal/resid/resid_test.go
+++ b/internal/resid/resid_test.go
@@ -39,7 +39,7 @@
 		}, topo.Order{Model: "m2", Adapter: "a3"}, false},
 		{"adapter slot freed", func(s *resid.Set) {
 			s.ApplyReport(full)
-			s.ApplyOrder(&topo.Order{Unload: true, Model: "m1", Adapter: "a1", ExpectedSequence: 4})
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m1", Adapter: "a1", ExpectedSequence: 4}, topo.OrderNoChange)
 		}, topo.Order{Model: "m2", Adapter: "a3"}, true},
 		{"adapter that is being loaded counts", func(s *resid.Set) {
 			s.ApplyReport(&topo.Report{
@@ -48,7 +48,7 @@
 		}, topo.Order{Model: "m1", Adapter: "a3"}, false},
 		{"model that is being loaded counts while busy", func(s *resid.Set) {
 			s.ApplyReport(&topo.Report{Sequence: 1, Models: []topo.Resident{{Name: "m1"}}})
-			s.ApplyOrder(&topo.Order{Model: "m2", ExpectedSequence: 1})
+			s.ApplyOrder(&topo.Order{Model: "m2", ExpectedSequence: 1}, topo.OrderAccepted)
 			s.ApplyReport(&topo.Report{Sequence: 2, Busy: true, Models: []topo.Resident{{Name: "m1"}}})
 		}, topo.Order{Model: "m3"}, false},
 		{"unknown order being executed", func(s *resid.Set) {
@@ -56,13 +56,27 @@
 		}, topo.Order{Model: "m3"}, false},
 		{"unloaded model occupies memory until reported", func(s *resid.Set) {
 			s.ApplyReport(full)
-			s.ApplyOrder(&topo.Order{Unload: true, Model: "m2", ExpectedSequence: 4})
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m2", ExpectedSequence: 4}, topo.OrderAccepted)
 		}, topo.Order{Model: "m3"}, false},
 		{"unloaded model is no longer reported", func(s *resid.Set) {
 			s.ApplyReport(full)
-			s.ApplyOrder(&topo.Order{Unload: true, Model: "m2", ExpectedSequence: 4})
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m2", ExpectedSequence: 4}, topo.OrderAccepted)
 			s.ApplyReport(&topo.Report{Sequence: 5, Models: []topo.Resident{{Name: "m1"}}})
 		}, topo.Order{Model: "m3"}, true},
+		{"an adapter in use is to be unloaded", func(s *resid.Set) {
+			s.ApplyReport(full)
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m1", Adapter: "a1", ExpectedSequence: 4}, topo.OrderAccepted)
+		}, topo.Order{Model: "m2", Adapter: "a3"}, false},
+		{"an adapter in use is to be unloaded and still reported", func(s *resid.Set) {
+			s.ApplyReport(full)
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m1", Adapter: "a1", ExpectedSequence: 4}, topo.OrderAccepted)
+			s.ApplyReport(&topo.Report{Sequence: 5, Models: full.Models})
+		}, topo.Order{Model: "m2", Adapter: "a3"}, false},
+		{"an adapter that was in use is no longer reported", func(s *resid.Set) {
+			s.ApplyReport(full)
+			s.ApplyOrder(&topo.Order{Unload: true, Model: "m1", Adapter: "a1", ExpectedSequence: 4}, topo.OrderAccepted)
+			s.ApplyReport(&topo.Report{Sequence: 5, Models: []topo.Resident{{Name: "m1", Adapters: []string{"a2"}}, {Name: "m2"}}})
+		}, topo.Order{Model: "m2", Adapter: "a3"}, true},
 		{"older report is ignored", func(s *resid.Set) {
 			s.ApplyReport(full)
 			s.ApplyReport(&topo.Report{Sequence: 3})
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -232,7 +232,11 @@
 // loaded there now. It sets the candidate's loadsAdapter and evict.
 func (s *Scheduler) adapterDelay(now time.Time, p *pending, e *engine, c *candidate) (time.Duration, bool) {
 	k := p.adapterKey()
-	if ad := e.adapters[k]; ad != nil && !ad.unloading {
+	ad := e.adapters[k]
+	if ad != nil && ad.leaving {
+		return 0, false
+	}
+	if ad != nil && !ad.unloading {
 		delay := max(ad.readyAt.Sub(now), 0)
 		if ad.requested {
 			delay = max(delay, adapterLoadTime/2)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -222,16 +222,23 @@
 	}
 }
 
-// OrderAccepted records that an engine accepted an order; sequence is the number of orders accepted so far.
-func (s *Scheduler) OrderAccepted(now time.Time, id string, o *topo.Order, sequence int64) {
+// OrderAccepted records that an engine accepted an order; sequence is the number of orders accepted so far. The result
+// is topo.OrderNoChange for an adapter that was unloaded at once; one that is still used goes when its runs have
+// ended.
+func (s *Scheduler) OrderAccepted(
+	now time.Time, id string, o *topo.Order, sequence int64, result topo.OrderResult,
+) {
 	e := s.engines[id]
 	if e == nil {
 		return
 	}
 	e.sequence = max(e.sequence, sequence)
 	switch k := (topo.Adapter{Model: o.Model, Name: o.Adapter}); {
-	case o.Adapter != "" && o.Unload:
+	case o.Adapter != "" && o.Unload && result == topo.OrderNoChange:
 		delete(e.adapters, k)
+	case o.Adapter != "" && o.Unload:
+		a := e.ensureAdapter(now, k)
+		a.unloading, a.leaving = true, true
 	case o.Adapter != "":
 		a := e.ensureAdapter(now, k)
 		a.requested, a.readyAt = false, now.Add(adapterLoadTime)
@@ -259,7 +266,7 @@
 }
 
 // AdapterFailed records that an adapter load failed, so that it can be requested again after orderBackoff, and keeps
-// the adapter that was to be evicted for it.
+// the adapter that was to be evicted for it, unless the engine is going to unload that.
 func (s *Scheduler) AdapterFailed(now time.Time, load AdapterLoad) {
 	e := s.engines[load.Engine]
 	if e == nil {
@@ -271,7 +278,7 @@
 		delete(e.adapters, k)
 	}
 	if a := e.adapters[topo.Adapter{Model: load.EvictModel, Name: load.EvictAdapter}]; a != nil {
-		a.unloading = false
+		a.unloading = a.leaving
 	}
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -102,7 +102,7 @@
 		}},
 		{"draining", func(s *sched.Scheduler) { s.DrainModel("e0", "m") }},
 		{"unloaded", func(s *sched.Scheduler) {
-			s.OrderAccepted(start, "e0", &topo.Order{Unload: true, Model: "m"}, 1)
+			s.OrderAccepted(start, "e0", &topo.Order{Unload: true, Model: "m"}, 1, topo.OrderAccepted)
 		}},
 		{"reports no models", func(s *sched.Scheduler) { s.SetReport(start, "e0", &topo.Report{Boot: 1, Sequence: 1}) }},
 	} {
@@ -158,7 +158,7 @@
 		return s.Schedule(start, q)
 	}
 	accept := func(n sched.AdapterLoad) {
-		s.OrderAccepted(start, n.Engine, &topo.Order{Model: n.Model, Adapter: n.Adapter}, 1)
+		s.OrderAccepted(start, n.Engine, &topo.Order{Model: n.Model, Adapter: n.Adapter}, 1, topo.OrderAccepted)
 	}
 	if schedule("a", "a1").Kind != sched.Waiting || schedule("b", "a1").Kind != sched.Waiting {
 		t.Fatal("calls are not waiting for their adapter")
@@ -200,7 +200,7 @@
 	for _, name := range []string{"a1", "a2"} {
 		schedule(start, "first "+name, name)
 		for _, load := range s.AdapterLoads() {
-			s.OrderAccepted(start, load.Engine, &topo.Order{Model: load.Model, Adapter: load.Adapter}, 1)
+			s.OrderAccepted(start, load.Engine, &topo.Order{Model: load.Model, Adapter: load.Adapter}, 1, topo.OrderAccepted)
 		}
 		for _, dec := range s.Step(soon) {
 			s.Release(soon, dec.Grant.Ticket, sched.Served)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -180,7 +180,8 @@
 		lastUse   time.Time
 		readyAt   time.Time // when the load is expected to have ended
 		requested bool      // load requested, but no order accepted yet
-		unloading bool      // to be evicted for another adapter
+		unloading bool      // to be evicted for another adapter; gets no calls
+		leaving   bool      // the engine unloads it when its runs have ended
 	}
 
 	ticket struct {
--- a/internal/sched/version_test.go
+++ b/internal/sched/version_test.go
@@ -84,7 +84,7 @@
 	list := mixedUpstreams()
 	list[0].Models, list[1].Models = nil, nil
 	s.SetUpstreams(start, list)
-	s.OrderAccepted(start, "e1", &topo.Order{Model: "m"}, 1)
+	s.OrderAccepted(start, "e1", &topo.Order{Model: "m"}, 1, topo.OrderAccepted)
 	q := call("a", 100)
 	q.Software = "v1"
 	if got := s.Schedule(start, q); got.Kind != sched.Waiting {
