Leave room for orders that an engine may carry out after a restart

Cause: the count of accepted orders, which keeps a late order from a newer state, starts again with the engine, and what was known of the unanswered order was dropped with the earlier instance.

Why it works: a late order is carried out at one count only, and at that count there is room.

Messages and stored values stay as they are.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -11,6 +11,7 @@
 
 	"github.com/figreel/figreel/internal/clock"
 	"github.com/figreel/figreel/internal/elect"
+	"github.com/figreel/figreel/internal/late"
 	"github.com/figreel/figreel/internal/place"
 	"github.com/figreel/figreel/internal/resid"
 	"github.com/figreel/figreel/internal/sched"
@@ -43,6 +44,7 @@
 
 	mu       sync.Mutex
 	states   map[string]*engineState
+	late     late.Orders // sent by this host
 	planners map[string]*place.Planner
 }
 
@@ -330,7 +332,12 @@
 	spec := r.engineSpec(st)
 	st.mu.Lock()
 	up := st.up
-	fits := spec != nil && st.resident.Fits(spec, &o)
+	st.mu.Unlock()
+	r.mu.Lock()
+	before := r.late.Before(time.Now(), up.Instance())
+	r.mu.Unlock()
+	st.mu.Lock()
+	fits := spec != nil && st.resident.Fits(spec, &o, before)
 	o.ExpectedSequence, _ = st.resident.Sequence()
 	st.mu.Unlock()
 	if !fits {
@@ -357,6 +364,11 @@
 	r.log.Info().Err(err).Str("upstream", up.ID).Bool("unload", o.Unload).Str("model", o.Model).
 		Str("adapter", o.Adapter).Int64("expected", o.ExpectedSequence).Int64("token", o.Fence).
 		Uint8("result", uint8(result)).Dur("took_ms", time.Since(start)).Msg("order sent")
+	if result == topo.OrderUnknown {
+		r.mu.Lock()
+		r.late.Add(time.Now(), up.Instance(), o)
+		r.mu.Unlock()
+	}
 	// An engine unloads an unused adapter immediately, so this result also means that the order took effect.
 	accepted := result == topo.OrderAccepted || result == topo.OrderNoChange && o.Adapter != "" && o.Unload
 	st.mu.Lock()
--- a/internal/resid/resid.go
+++ b/internal/resid/resid.go
@@ -7,6 +7,11 @@
 )
 
 type (
+	usage struct {
+		memoryMB float64
+		slots    int // of adapters
+	}
+
 	// Set holds the models and adapters that are resident on an engine. In the zero value they are unknown.
 	Set struct {
 		sequence int64 // number of accepted orders that the state includes
@@ -71,37 +76,88 @@
 	}
 }
 
-// Fits reports whether the order fits in the memory and adapter slots of the engine; it returns false if the state is
-// not known.
-func (s *Set) Fits(spec *topo.EngineSpec, o *topo.Order) bool {
+// Fits reports whether the order fits in the memory and adapter slots of the engine, also if orders that were sent to
+// an earlier instance of it are carried out when their turn comes after it. It returns false if the state is not
+// known.
+func (s *Set) Fits(spec *topo.EngineSpec, o *topo.Order, late []topo.Order) bool {
 	if !s.known {
 		return false
 	}
-	if o.Unload {
+	if o.Unload && len(late) == 0 {
 		return true
 	}
-	used := 0.0
+	u, ok := s.usage(spec)
+	if !ok {
+		return false
+	}
+	if !o.Unload {
+		present := s.models[o.Model]
+		if o.Adapter != "" {
+			present = !present || s.adapters[topo.Adapter{Model: o.Model, Name: o.Adapter}]
+		}
+		if present || !u.add(spec, o) {
+			return false
+		}
+	}
+	return s.fitsLate(spec, u, late)
+}
+
+// fitsLate reports whether late orders fit beside what is used after the next order. What an unload frees counts as
+// used, because an engine frees it when its runs have ended.
+func (s *Set) fitsLate(spec *topo.EngineSpec, u usage, late []topo.Order) bool {
+	for sequence := s.sequence + 1; ; sequence++ {
+		// Of several orders with the same turn one is carried out.
+		next, found := u, false
+		for i := range late {
+			o := &late[i]
+			if o.ExpectedSequence != sequence || o.Unload || o.Adapter == "" && s.models[o.Model] {
+				continue
+			}
+			after := u
+			if !after.add(spec, o) {
+				return false
+			}
+			next = usage{max(next.memoryMB, after.memoryMB), max(next.slots, after.slots)}
+			found = true
+		}
+		if !found {
+			return true
+		}
+		u = next
+	}
+}
+
+// usage returns what the models and adapters use, and false if a model is not in the configuration.
+func (s *Set) usage(spec *topo.EngineSpec) (u usage, ok bool) {
 	for name := range s.models {
 		m := spec.Model(name)
 		if m == nil {
-			return false
+			return usage{}, false
 		}
-		used += m.MemoryMB
+		u.memoryMB += m.MemoryMB
 	}
 	for a := range s.adapters {
 		if m := spec.Model(a.Model); m != nil {
-			used += m.AdapterMB
+			u.memoryMB += m.AdapterMB
 		}
 	}
+	u.slots = len(s.adapters)
+	return u, true
+}
+
+// add adds what an order loads, and reports whether there is room for it.
+func (u *usage) add(spec *topo.EngineSpec, o *topo.Order) bool {
 	m := spec.Model(o.Model)
-	switch {
-	case m == nil:
+	if m == nil {
 		return false
-	case o.Adapter == "":
-		return !s.models[o.Model] && used+m.MemoryMB <= spec.MemoryMB
 	}
-	return s.models[o.Model] && !s.adapters[topo.Adapter{Model: o.Model, Name: o.Adapter}] &&
-		len(s.adapters) < spec.AdapterSlots && used+m.AdapterMB <= spec.MemoryMB
+	if o.Adapter == "" {
+		u.memoryMB += m.MemoryMB
+		return u.memoryMB <= spec.MemoryMB
+	}
+	u.memoryMB += m.AdapterMB
+	u.slots++
+	return u.memoryMB <= spec.MemoryMB && u.slots <= spec.AdapterSlots
 }
 
 // reported returns the models and adapters in a report, with the adapters that are being loaded.
--- a/internal/resid/resid_test.go
+++ b/internal/resid/resid_test.go
@@ -84,7 +84,46 @@
 	} {
 		var s resid.Set
 		tt.do(&s)
-		if got := s.Fits(spec, &tt.order); got != tt.want {
+		if got := s.Fits(spec, &tt.order, nil); got != tt.want {
+			t.Errorf("%s: fits %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against loads that leave no room for an order to an earlier instance of the engine, which this one may still
+// carry out when it has accepted as many orders as that one expects.
+func TestFitsBesideLateOrders(t *testing.T) {
+	one := &topo.Report{Sequence: 1, Models: []topo.Resident{{Name: "m1", Adapters: []string{"a1"}}}}
+	two := &topo.Report{Sequence: 4, Models: []topo.Resident{{Name: "m1"}, {Name: "m2"}}}
+	for _, tt := range []struct {
+		name   string
+		report *topo.Report
+		order  topo.Order
+		late   []topo.Order
+		want   bool
+	}{
+		{"room", &topo.Report{}, topo.Order{Model: "m1"}, []topo.Order{{Model: "m2", ExpectedSequence: 1}}, true},
+		{"no room", one, topo.Order{Model: "m2"}, []topo.Order{{Model: "m3", ExpectedSequence: 2}}, false},
+		{"its turn is over", one, topo.Order{Model: "m2"}, []topo.Order{{Model: "m3", ExpectedSequence: 1}}, true},
+		{"its turn comes later", one, topo.Order{Model: "m2"}, []topo.Order{{Model: "m3", ExpectedSequence: 3}}, true},
+		{"resident", one, topo.Order{Model: "m2"}, []topo.Order{{Model: "m1", ExpectedSequence: 2}}, true},
+		{"unload", one, topo.Order{Model: "m2"}, []topo.Order{{Unload: true, Model: "m1", ExpectedSequence: 2}}, true},
+		{"two in a row", &topo.Report{}, topo.Order{Model: "m1"}, []topo.Order{
+			{Model: "m3", ExpectedSequence: 2}, {Model: "m2", ExpectedSequence: 1},
+		}, false},
+		{"two for one turn", &topo.Report{}, topo.Order{Model: "m1"}, []topo.Order{
+			{Model: "m3", ExpectedSequence: 1}, {Model: "m2", ExpectedSequence: 1},
+		}, true},
+		{"after an unload, whose memory may be in use", two, topo.Order{Unload: true, Model: "m2"}, []topo.Order{
+			{Model: "m3", ExpectedSequence: 5},
+		}, false},
+		{"no adapter slot", one, topo.Order{Model: "m1", Adapter: "a2"}, []topo.Order{
+			{Model: "m1", Adapter: "a3", ExpectedSequence: 2},
+		}, false},
+	} {
+		var s resid.Set
+		s.ApplyReport(tt.report)
+		if got := s.Fits(spec, &tt.order, tt.late); got != tt.want {
 			t.Errorf("%s: fits %v, want %v", tt.name, got, tt.want)
 		}
 	}
