Load a model on the version that streams need

Cause: placement knew the demand for a model, not for a version, so the replica at the other version was enough; and a call that continues a stream was rejected at once where no engine of its version had the model.

Change: such a call waits like one whose model nobody holds, its version is part of the demand, and placement plans a target for it on engines of that version, which is weighed like any model without a replica. Why it works: what the call requires is what is placed.

No message changes. Cost: loads, nothing at the store.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -225,8 +225,8 @@
 	defer st.mu.Unlock()
 	_, known := st.resident.Sequence()
 	e := place.Engine{
-		ID: st.up.ID, Loading: st.loading, Unloading: st.unloading, Calls: make(map[string]int),
-		Busy: !known || st.report.Busy || st.sending,
+		ID: st.up.ID, Software: st.up.Software, Loading: st.loading, Unloading: st.unloading,
+		Calls: make(map[string]int), Busy: !known || st.report.Busy || st.sending,
 	}
 	// Until an engine has reported, the models in its upstream entry count as resident, so that they are not loaded
 	// again.
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -32,6 +32,7 @@
 	// Engine is the state of one engine as input of a plan.
 	Engine struct {
 		ID        string
+		Software  string         // version of its software
 		Resident  []string       // resident models
 		Loading   string         // model that is being loaded, or empty
 		Unloading string         // model that is being unloaded, or empty
@@ -62,10 +63,14 @@
 		reservedFor map[string]string
 		// unservedSince is when a model without a replica first had waiting calls.
 		unservedSince map[string]time.Time
+		// versionUnservedSince is the same for models that calls need at a software version.
+		versionUnservedSince map[versionKey]time.Time
 	}
 
 	replicaKey struct{ engine, model string }
 
+	versionKey struct{ model, software string }
+
 	// round is the state of one plan.
 	round struct {
 		*Planner
@@ -109,6 +114,7 @@
 	r := &round{Planner: p, now: now, targets: p.newTargets(now, engines, demand), failed: make(map[class]failure)}
 	r.addSites(engines)
 	queue := make(targetQueue, 0, len(r.targets))
+	queue = append(queue, p.versionTargets(now, engines, demand, r.targets)...)
 	for _, t := range r.targets {
 		if r.wantsReplica(t) {
 			queue = append(queue, t)
@@ -231,9 +237,7 @@
 		return Order{}, false
 	}
 	best.ordered = true
-	t.replicas++
-	t.capacity += best.speed()
-	t.unserved = false
+	t.add(best.speed())
 	if v := ev.victim; v != nil {
 		v.replicas--
 		v.capacity -= best.speed()
@@ -252,6 +256,9 @@
 	if !r.bucket.available() {
 		return r.cheapest(t, r.cached[t.model.Name])
 	}
+	if t.software != "" {
+		return r.cheapest(t, r.sites)
+	}
 	f, failed := r.failed[t.class()]
 	if failed && t.claim() <= f.claim && t.model.MemoryMB >= f.memoryMB {
 		return r.cheapest(t, slices.Concat(r.cached[t.model.Name], f.skipped))
@@ -273,7 +280,7 @@
 func (r *round) cheapest(t *target, sites []*site) (best *site, bestEviction eviction) {
 	var bestCost time.Duration
 	for _, s := range sites {
-		if s.ordered || slices.Contains(s.Resident, t.model.Name) {
+		if s.ordered || slices.Contains(s.Resident, t.model.Name) || t.software != "" && t.software != s.Software {
 			continue
 		}
 		loadTime, _ := s.loadTime(t.model)
--- a/internal/place/planner_test.go
+++ b/internal/place/planner_test.go
@@ -101,6 +101,31 @@
 			change: func(e []place.Engine) { e[1].Busy = true },
 			want:   []place.Order{{Engine: "a", Model: "warm", Unload: true}},
 		},
+		{
+			name:    "calls wait for a version without the model",
+			engines: engines([]string{"hot"}, []string{"warm", "rare"}, []string{"cold", "rare"}),
+			demand: map[string]sched.ModelDemand{
+				"hot": {Waiting: 2, Requested: true, Versions: map[string]int{"v2": 2}}, "warm": called,
+			},
+			change: func(e []place.Engine) { e[0].Software, e[1].Software, e[2].Software = "v1", "v2", "v2" },
+			want:   []place.Order{{Engine: "c", Model: "cold", Unload: true}},
+		},
+		{
+			name:    "the version of the calls is being loaded",
+			engines: engines([]string{"hot"}, []string{"warm"}, []string{"cold", "rare"}),
+			demand:  map[string]sched.ModelDemand{"hot": {Waiting: 2, Requested: true, Versions: map[string]int{"v2": 2}}},
+			change: func(e []place.Engine) {
+				e[0].Software, e[1].Software, e[2].Software, e[1].Loading = "v1", "v2", "v2", "hot"
+			},
+		},
+		{
+			name: "no engine of the version of the calls has room", engines: engines([]string{"hot"}, []string{"warm", "cold"}),
+			demand: map[string]sched.ModelDemand{
+				"hot": {Waiting: 1, Requested: true, Versions: map[string]int{"v2": 1}}, "warm": called, "cold": called,
+				"rare": called,
+			},
+			change: func(e []place.Engine) { e[0].Software, e[1].Software, e[0].Busy = "v1", "v2", true },
+		},
 		{
 			name: "a busy engine gets no order", engines: engines([]string{"hot"}, []string{"cold", "rare"}),
 			demand: map[string]sched.ModelDemand{"warm": waiting, "cold": called, "rare": called},
--- a/internal/place/target.go
+++ b/internal/place/target.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/figreel/figreel/internal/sched"
@@ -43,6 +45,10 @@
 		unserved    bool          // calls wait and there is no replica
 		unservedFor time.Duration // how long it has been unserved
 		requested   bool
+		// software is the version that an engine must have, or empty. Such a target is that of calls which no replica
+		// of another version can serve; whole is then the target of the model.
+		software string
+		whole    *target
 	}
 )
 
@@ -79,18 +85,66 @@
 		if t.waiting == 0 {
 			continue
 		}
-		t.unserved = true
-		t.load = max(t.load, waitingLoad*float64(t.waiting))
 		since, known := p.unservedSince[name]
 		if !known {
-			p.unservedSince[name] = now
-			continue
+			since = now
+			p.unservedSince[name] = since
 		}
-		t.unservedFor = now.Sub(since)
+		t.setUnserved(now.Sub(since))
 	}
 	return out
 }
 
+// setUnserved marks the target as unserved for some time.
+func (t *target) setUnserved(d time.Duration) {
+	t.unserved, t.unservedFor = true, d
+	t.load = max(t.load, waitingLoad*float64(t.waiting))
+}
+
+// versionTargets returns the targets of models that calls need on engines of a software version of which none holds or
+// loads them.
+func (p *Planner) versionTargets(
+	now time.Time, engines []Engine, demand map[string]sched.ModelDemand, whole map[string]*target,
+) []*target {
+	var out []*target
+	unservedSince := make(map[versionKey]time.Time)
+	for i := range p.Spec.Models {
+		m := &p.Spec.Models[i]
+		waiting := demand[m.Name].Versions
+		for _, version := range slices.Sorted(maps.Keys(waiting)) {
+			holds := func(e Engine) bool {
+				return e.Software == version && (slices.Contains(e.replicas(), m.Name) || p.reservedFor[e.ID] == m.Name)
+			}
+			if slices.ContainsFunc(engines, holds) {
+				continue
+			}
+			key := versionKey{m.Name, version}
+			since, known := p.versionUnservedSince[key]
+			if !known {
+				since = now
+			}
+			unservedSince[key] = since
+			t := &target{
+				model: m, index: i, waiting: waiting[version], requested: true, software: version, whole: whole[m.Name],
+			}
+			t.setUnserved(now.Sub(since))
+			out = append(out, t)
+		}
+	}
+	p.versionUnservedSince = unservedSince
+	return out
+}
+
+// add counts a replica on an engine of that speed.
+func (t *target) add(speed float64) {
+	t.replicas++
+	t.capacity += speed
+	t.unserved = false
+	if t.whole != nil {
+		t.whole.add(speed)
+	}
+}
+
 // replicas returns the models that the engine holds or loads, except one that is being unloaded.
 func (e *Engine) replicas() []string {
 	out := make([]string, 0, len(e.Resident)+1)
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -353,6 +353,9 @@
 	}
 	wait := m.LoadTime
 	for _, e := range s.loaders(p.modelKey()) {
+		if !p.fits(e) {
+			continue
+		}
 		if since, ok := e.loading[m.Name]; ok && e.listed && now.Sub(since) < loadGivenUp*m.LoadTime {
 			wait = min(wait, max(m.LoadTime-now.Sub(since), 0))
 		}
@@ -361,7 +364,11 @@
 	since := s.placementFrom(p)
 	wait += max(since.Sub(now), 0)
 	if s.PlacementFrom.IsZero() || wait+responseOverhead > left || !loading && now.Sub(since) > loadStartTimeout {
-		return s.reject(p, ReasonNoReplica, wait)
+		reason := ReasonNoReplica
+		if p.Software != "" {
+			reason = ReasonVersionGone
+		}
+		return s.reject(p, reason, wait)
 	}
 	return Decision{Kind: Waiting, Call: p.Call}
 }
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -29,6 +29,12 @@
 		}
 		n := out[p.Spec.Model]
 		n.Waiting++
+		if p.Software != "" && !s.isHeld(p) {
+			if n.Versions == nil {
+				n.Versions = make(map[string]int)
+			}
+			n.Versions[p.Software]++
+		}
 		out[p.Spec.Model] = n
 	}
 	return out
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -32,7 +32,7 @@
 	// ReasonHold rejects a call because the engines of its model want no calls from its host for a while.
 	ReasonHold = "hold_of_engines"
 	// ReasonVersionGone rejects a call that continues a stream, because no engine of the software version that began
-	// the stream can serve it.
+	// the stream can serve it in time.
 	ReasonVersionGone = "version_gone"
 	// ReasonVersionUnknown rejects a call that takes up a stream, because it is not known which software version began
 	// it.
@@ -173,6 +173,9 @@
 		CallRate    float64 // calls per second, over a longer time than OfferedLoad
 		Waiting     int     // queued calls, except those that wait for an adapter
 		Requested   bool    // at least one call has requested the model
+		// Versions is the number of queued calls that continue streams, by the software version that began them, for
+		// versions of which no engine has the model.
+		Versions map[string]int
 	}
 
 	adapter struct {
--- a/internal/sched/version.go
+++ b/internal/sched/version.go
@@ -10,14 +10,27 @@
 // fits reports whether the engine has the software version that the call requires.
 func (p *pending) fits(e *engine) bool { return p.Software == "" || p.Software == e.Software }
 
-// hasVersion reports whether an engine of the software version that the call requires has its model or is loading it.
-// Placement goes by the demand for a model, whatever the version, so none is loaded for the call.
-func (s *Scheduler) hasVersion(p *pending) bool {
+// isHeld reports whether an engine of the software version that the call requires has its model or is loading it.
+func (s *Scheduler) isHeld(p *pending) bool {
 	usable := func(e *engine) bool { return e.listed && !e.Leaving && p.fits(e) }
 	k := p.modelKey()
 	return slices.ContainsFunc(s.holders(k), usable) || slices.ContainsFunc(s.loaders(k), usable)
 }
 
+// hasVersion reports whether an engine of the software version that the call requires is in service. If none has the
+// model, it can be loaded on one.
+func (s *Scheduler) hasVersion(p *pending) bool {
+	if s.isHeld(p) {
+		return true
+	}
+	for _, e := range s.engines {
+		if e.listed && !e.Leaving && e.Service == p.Service && p.fits(e) {
+			return true
+		}
+	}
+	return false
+}
+
 // SoftwareOf returns the software version of the engine of a grant. An engine that this scheduler knows to have started
 // again since then has that of its newer instance.
 func (s *Scheduler) SoftwareOf(g Grant) string {
