Choose who schedules in a test before its hosts start

Change: every host of the test fleet has a switch that says whether a leader schedules its calls, set up before it starts. The assertions are the same.

--- a/internal/host/details_test.go
+++ b/internal/host/details_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +19,12 @@
 		f := newFleet(ctx, 9)
 		watching := f.watchers()
 		var follower *fleetHost
-		var alone atomic.Bool
 		for _, h := range f.hosts {
 			if h != watching[0] && h != watching[1] && !h.cache.elector.IsLeader() {
 				follower = h
 			}
 		}
-		follower.cache.schedules = alone.Load
+		follower.hasLeader.Store(true)
 		resident := func() bool { return upstreamOf(follower, "e1").HasModel("m1") }
 		details := func() int64 {
 			follower.cache.mu.Lock()
@@ -47,12 +45,12 @@
 		if u := upstreamOf(follower, "e2"); !u.Leaving {
 			t.Error("a departure did not arrive within a second")
 		}
-		alone.Store(true)
+		follower.hasLeader.Store(false)
 		time.Sleep(2 * roleInterval)
 		if !resident() {
 			t.Error("a host without a leader lacks details")
 		}
-		alone.Store(false)
+		follower.hasLeader.Store(true)
 		f.store.Set("up/e1", "llm ready")
 		time.Sleep(detailsInterval + 2*time.Second)
 		if resident() {
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -41,6 +41,8 @@
 		slow   atomic.Bool // messages to other hosts are sent when this ends, as after a pause of the machine
 		paused atomic.Bool // as slow; responses of the store are read when this ends too
 		mute   atomic.Bool // responses of the store are lost; their connections return nothing further
+		// hasLeader means that a leader schedules the calls of this host.
+		hasLeader atomic.Bool
 		// muteWatches is mute for watch calls alone.
 		muteWatches atomic.Bool
 		fleet       *fleet
@@ -77,6 +79,7 @@
 			log: h.cache.log, now: h.cache.now, dial: h.dial,
 		}
 		h.cache.isSource = h.relay.isSource
+		h.cache.schedules = func() bool { return !h.hasLeader.Load() }
 		h.relay.tickets.senders = h.cache.senderCount
 		h.cache.elector.HandoverDelay = testHandoverDelay
 		h.relay.promises.HandoverDelay = testHandoverDelay
