--- a/internal/host/orders_test.go
+++ b/internal/host/orders_test.go
@@ -73,16 +73,17 @@
 	e.adapters = slices.DeleteFunc(e.adapters, func(a string) bool { return a == adapter })
 }
 
-// withReconciler runs f with a leader that sends orders to an engine. The returned function of start lists the engine as
-// it has just started.
+// withReconciler runs f with a leader that sends orders to an engine, and with a function that lists the engine.
 func withReconciler(t *testing.T, e *orderedEngine, f func(t *testing.T, r *reconciler, list func())) {
 	withLeader(t, func(t *testing.T, s *stub.Store, leader *ticketService) {
 		cfg := &topo.Config{Version: 1, Services: map[string]topo.Service{"llm": {
-			Name: "llm", Engine: &topo.EngineSpec{Slots: 8, KVTokens: 1000, MemoryMB: 102, AdapterSlots: 2, Models: []topo.Model{
-				{Name: "m1", MemoryMB: 50, AdapterMB: 1, LoadTime: time.Second},
-				{Name: "m2", MemoryMB: 50},
-				{Name: "m3", MemoryMB: 50},
-			}},
+			Name: "llm", Engine: &topo.EngineSpec{
+				Slots: 8, KVTokens: 1000, MemoryMB: 102, AdapterSlots: 2, Models: []topo.Model{
+					{Name: "m1", MemoryMB: 50, AdapterMB: 1, LoadTime: time.Second},
+					{Name: "m2", MemoryMB: 50},
+					{Name: "m3", MemoryMB: 50},
+				},
+			},
 		}}}
 		r := &reconciler{
 			self: "leader", elector: leader.elector, cache: testCache(s), tickets: leader, engines: e,
