Give each emulated deployment a loopback address of its own

Cause: internal/emul/site picked ports of 127.0.0.1 for its hosts, closed them, and let the hosts listen on them later and again after each restart. Until then the kernel may give the port to another listener. Callers of one deployment then call an upstream of another one, which counts calls that no host of its own has sent and that follow none of its statements.

Change: package lonet claims an address of 127.0.0.0/8 for a deployment, holds one port of it so that no other one can claim it, and gives out each port once. TestAddressesOfDeployments fails without it (both deployments at 127.0.0.1). internal/serve picked ports in the same way for its TLS tests and uses lonet too. internal/local is left as it is: its ports are outside the range that the kernel gives out, and its tests run one cluster at a time.

--- a/internal/emul/site/host.go
+++ b/internal/emul/site/host.go
@@ -52,9 +52,12 @@
 }
 
 func newHost(s *Site, i int) (*siteHost, error) {
-	addrs, err := freeAddrs(4)
-	if err != nil {
-		return nil, err
+	var addrs [4]string
+	for n := range addrs {
+		var err error
+		if addrs[n], err = s.net.Addr(); err != nil {
+			return nil, err
+		}
 	}
 	return &siteHost{site: s, index: i, settings: host.Settings{
 		Name: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%3), Front: addrs[0], Link: addrs[1],
--- a/internal/emul/site/load.go
+++ b/internal/emul/site/load.go
@@ -40,7 +40,7 @@
 
 // startUpstream starts an upstream whose calls take the given time, and registers it.
 func (s *Site) startUpstream(ctx context.Context, name, service string, work time.Duration) error {
-	l, err := listen()
+	l, err := s.net.Listen()
 	if err != nil {
 		return err
 	}
--- a/internal/emul/site/site.go
+++ b/internal/emul/site/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figreel/figreel/internal/clock"
+	"github.com/figreel/figreel/internal/emul/lonet"
 	"github.com/figreel/figreel/internal/store"
 	"github.com/figreel/figreel/internal/store/stub"
 	"github.com/figreel/figreel/internal/topo"
@@ -58,6 +58,7 @@
 		Speeds []float64
 		Log    zerolog.Logger
 
+		net     *lonet.Net
 		store   *stub.Store
 		started time.Time
 		report  Report
@@ -85,6 +86,11 @@
 func (s *Site) Run(ctx context.Context) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var err error
+	if s.net, err = lonet.Claim(); err != nil {
+		return nil, err
+	}
+	defer func() { _ = s.net.Close() }()
 	s.store = &stub.Store{}
 	s.store.Set(configPrefix+"main", "1")
 	s.report = Report{statements: s.Statements, seen: make(map[pair]*counts), usages: newUsages(s.Workspaces)}
@@ -195,32 +201,6 @@
 	return u, nil
 }
 
-// listen opens a loopback port.
-func listen() (net.Listener, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	return l, errors.Wrap(err, "listen on loopback")
-}
-
-// freeAddrs returns loopback addresses that no other socket uses now.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, 0, n)
-	open := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := listen()
-		if err != nil {
-			return nil, err
-		}
-		open = append(open, l)
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
-}
-
 // Logger returns a logger for a tool: everything from warnings on if verbose is set, and otherwise nothing.
 func Logger(verbose bool) zerolog.Logger {
 	if !verbose {
--- a/internal/serve/tls_test.go
+++ b/internal/serve/tls_test.go
@@ -20,6 +20,7 @@
 	"github.com/figreel/figreel/internal/config"
 	"github.com/figreel/figreel/internal/emul/hosts"
 	"github.com/figreel/figreel/internal/emul/kv"
+	"github.com/figreel/figreel/internal/emul/lonet"
 	"github.com/figreel/figreel/internal/qrpc"
 	"github.com/figreel/figreel/internal/stats"
 	"github.com/figreel/figreel/internal/wire"
@@ -100,14 +101,20 @@
 func tlsConfig(t *testing.T, a *certs.Authority) *config.Config {
 	t.Helper()
 	dir := t.TempDir()
-	if err := a.WriteFiles(dir, []string{"a"}, net.IPv4(127, 0, 0, 1)); err != nil {
+	n, err := lonet.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	if err := a.WriteFiles(dir, []string{"a"}, net.ParseIP(n.IP)); err != nil {
 		t.Fatal(err)
 	}
 	kvServer, listServer := httptest.NewServer(new(kv.Store)), httptest.NewServer(new(hosts.Registry))
 	t.Cleanup(kvServer.Close)
 	t.Cleanup(listServer.Close)
 	pair := "{cert_file: DIR/a.pem, key_file: DIR/a.key"
-	text := strings.NewReplacer("PAIR", pair, "CALLERS", freePort(t), "OPERATORS", freePort(t), "PEERS", freePort(t),
+	text := strings.NewReplacer("PAIR", pair,
+		"CALLERS", freeAddr(t, n), "OPERATORS", freeAddr(t, n), "PEERS", freeAddr(t, n),
 		"KV", kvServer.URL, "LIST", listServer.URL, "DIGEST", operatorDigest).Replace(`
 name: a
 environment: trial
@@ -128,14 +135,13 @@
 	return cfg
 }
 
-func freePort(t *testing.T) string {
+func freeAddr(t *testing.T, n *lonet.Net) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := n.Addr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
 
 func waitForListener(ctx context.Context, t *testing.T, addr string) {
