Fill the buffers of a test's connection with less data

By its profile nearly all of its time is the encoding of a header of 64 MB, before the first byte is sent. It needs a request longer than what the kernel buffers of both sides hold; the larger of the two is that of the receiving side, which grows to 32 MB here.

The receiving side now has a buffer of fixed size, and the header 16 MB, against 4 MB that the sending side holds at most. The checks and their time are the same.

--- a/internal/h1/partial_test.go
+++ b/internal/h1/partial_test.go
@@ -29,6 +29,8 @@
 		if err != nil {
 			return
 		}
+		tc := nc.(*net.TCPConn)
+		_ = tc.SetReadBuffer(64 << 10)
 		br := bufio.NewReader(nc)
 		if _, err := http.ReadRequest(br); err != nil {
 			return
@@ -36,7 +38,6 @@
 		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
 		n, _ := br.Read(make([]byte, 1024))
 		got <- n
-		tc := nc.(*net.TCPConn)
 		_ = tc.CloseWrite()
 		time.Sleep(50 * time.Millisecond)
 		_ = tc.SetLinger(0)
@@ -53,9 +54,9 @@
 	if _, err := res.ReadAll(10); err != nil {
 		t.Fatal(err)
 	}
-	// Longer than what the kernel buffers of both sides hold.
+	// Longer than what the kernel buffers of both sides hold. The receiving side would grow to more without a fixed size.
 	r.ID = "b"
-	r.Header = http.Header{"Long": {strings.Repeat("x", 64<<20)}}
+	r.Header = http.Header{"Long": {strings.Repeat("x", 16<<20)}}
 	_, err = p.Do(ctx, r)
 	if n := <-got; n == 0 {
 		t.Fatal("the upstream got nothing")
