Print the calls of a window that breaks a limit

Both are now printed with the window that has the most calls; the check is the same.

With limits ignored the tests fail and print the windows.

--- a/internal/emul/site/report.go
+++ b/internal/emul/site/report.go
@@ -39,6 +39,8 @@
 		Statement Statement
 		Host      string // empty for a limit, which counts for all hosts
 		Calls     int    // too many
+		// Window is the start of the window with the most calls, for a limit.
+		Window time.Duration
 	}
 
 	// pair is an upstream and a process of a host.
@@ -98,8 +100,8 @@
 	var out []Violation
 	for i, st := range r.statements {
 		if st.Limit > 0 {
-			if n := r.excess(i, st); n > 0 {
-				out = append(out, Violation{Statement: st, Calls: n})
+			if n, at := r.excess(i, st); n > 0 {
+				out = append(out, Violation{Statement: st, Calls: n, Window: at})
 			}
 		}
 		for p, c := range r.seen {
@@ -114,8 +116,8 @@
 	return out
 }
 
-// excess returns the largest number of calls beyond a limit in a window, over all hosts.
-func (r *Report) excess(i int, st Statement) int {
+// excess returns the largest number of calls beyond a limit in a window, over all hosts, and the start of that window.
+func (r *Report) excess(i int, st Statement) (worst int, window time.Duration) {
 	var all []time.Duration
 	first := st.Until
 	for p, c := range r.seen {
@@ -127,16 +129,17 @@
 		}
 	}
 	slices.Sort(all)
-	worst := 0
 	allowed := int(limitFactor*st.Limit*limitWindow.Seconds()) + limitSlack
 	for j, at := range all {
 		if at < first+learnTime || at+limitWindow > st.Until {
 			continue
 		}
 		n, _ := slices.BinarySearch(all[j:], at+limitWindow)
-		worst = max(worst, n-allowed)
+		if n-allowed > worst {
+			worst, window = n-allowed, at
+		}
 	}
-	return worst
+	return worst, window
 }
 
 // late returns the number of calls that a host has sent although the upstream had told it that it is leaving, or that
@@ -181,6 +184,30 @@
 	}
 	for _, v := range r.Violations() {
 		fmt.Fprintf(t, "not followed\t%s\t%d\t%+v\n", cmp.Or(v.Host, "all hosts"), v.Calls, v.Statement)
+		if v.Window > 0 {
+			r.writeWindow(t, &v)
+		}
 	}
 	return t.Flush()
 }
+
+// writeWindow prints when each process sent calls in the window of a violation, and when it was first told the limit.
+func (r *Report) writeWindow(w io.Writer, v *Violation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	statement := slices.Index(r.statements, v.Statement)
+	for p, c := range r.seen {
+		if p.upstream != v.Statement.Upstream {
+			continue
+		}
+		told := "not told"
+		if list := c.stated[statement]; len(list) > 0 {
+			told = fmt.Sprint("told at ", slices.Min(list))
+		}
+		for _, at := range c.arrivals {
+			if at >= v.Window && at < v.Window+limitWindow {
+				fmt.Fprintf(w, "in the window\t%s\t%v\t%s\n", p.host, at, told)
+			}
+		}
+	}
+}
