Ask once whether the records of streams are loaded

streamStore.load asked twice whether this host had loaded the records, with the assumption of versions between; an answer that changes in between would have done one half only. dropNotes removed the services that it had dealt with from its caller's map, which the caller reads for another purpose before. Neither was seen to fail; found by reading.

--- a/internal/host/notes.go
+++ b/internal/host/notes.go
@@ -30,15 +30,16 @@
 // Otherwise they would outlast the first streams of the second version. It does so once for each service while this
 // host has to do without a leader.
 func (s *streamStore) dropNotes(ctx context.Context, mixed map[string][]string) error {
-	known := func(service string, _ []string) bool { return s.dropped[service] }
-	if maps.DeleteFunc(mixed, known); len(mixed) == 0 {
+	rest := maps.Clone(mixed)
+	maps.DeleteFunc(rest, func(service string, _ []string) bool { return s.dropped[service] })
+	if len(rest) == 0 {
 		return nil
 	}
 	notes, err := s.readNotes(ctx)
 	if err != nil {
 		return err
 	}
-	if keys := notes.SingleKeys(mixed); len(keys) > 0 {
+	if keys := notes.SingleKeys(rest); len(keys) > 0 {
 		txn := store.Txn{Era: s.knownEra(), Remove: keys[:min(len(keys), maxOldKeys)]}
 		if _, err := s.store.Commit(ctx, txn); err != nil {
 			return err
@@ -48,7 +49,7 @@
 			return nil
 		}
 	}
-	for service := range mixed {
+	for service := range rest {
 		s.dropped[service] = true
 	}
 	return nil
--- a/internal/host/streams.go
+++ b/internal/host/streams.go
@@ -296,12 +296,13 @@
 		return err
 	}
 	now := time.Now()
-	if loaded, _ := s.state(); !loaded {
+	loaded, _ := s.state()
+	if !loaded {
 		s.assume(r.notes)
 	}
 	s.tickets.mu.Lock()
 	streams := &s.tickets.scheduler.Streams
-	if loaded, _ := s.state(); !loaded {
+	if !loaded {
 		r.notes.Each(func(service, version string) { streams.SetInService(now, service, version) })
 	}
 	if r.notes.Era != s.era {
