--- a/internal/emul/lonet/net.go
+++ b/internal/emul/lonet/net.go
@@ -40,7 +40,7 @@
 			return nil, err
 		}
 	}
-	return nil, errors.Errorf("no unused loopback address found in %d tries", maxDraws)
+	return nil, errors.Errorf("port %d is taken at each of %d loopback addresses", claimPort, maxDraws)
 }
 
 // Listen listens on a port that was not returned before.
