Look up the origin of a stream only for calls that take one up

RequestTicket looked it up, under the lock of the tickets, for every call, and used it only for those that take a stream up and name no version. Found by reading the change again; no call is treated otherwise. The tests of internal/host pass, with and without the race detector, and so do vet, staticcheck and revive.

--- a/internal/host/tickets.go
+++ b/internal/host/tickets.go
@@ -112,8 +112,10 @@
 // RequestTicket returns the scheduler's decision on one of this host's calls; the error is that of ctx. If the
 // scheduler does not know the software version that began the stream of the call, it is looked up in the store.
 func (s *ticketService) RequestTicket(ctx context.Context, req sched.Request) (sched.Decision, error) {
-	if origin, ok := s.originOf(req.Resumes); ok && req.TakesUp && req.Software == "" {
-		req.SetOrigin(origin)
+	if req.TakesUp && req.Software == "" {
+		if origin, ok := s.originOf(req.Resumes); ok {
+			req.SetOrigin(origin)
+		}
 	}
 	start := time.Now()
 	decision, err := s.requestTicket(ctx, req)
